Lay out the workspace: packages, documents, messages, events and actions

Cause: an empty repository. The types of documents, outcomes, events, actions and peer messages come first because every part is written against them. Ruled out: dataclasses for wire messages (msgspec cannot tag them, nor refuse their unknown fields). Three tests pass; lint is clean. Nothing serves a request yet.

--- /dev/null
+++ b/packages/geraniumlead-client/src/geraniumlead_client/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the operators' command geraniumlead."""
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/__init__.py
@@ -0,0 +1,1 @@
+"""Run the daemon geraniumleadd: turn network events into decisions and carry them out."""
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Run the workspace's tests."""
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/actions/call_upstream.py
@@ -0,0 +1,19 @@
+"""Define a call to an upstream."""
+
+from dataclasses import dataclass
+
+from geraniumlead.upstreams.subquery import Subquery
+
+
+@dataclass(slots=True, frozen=True)
+class CallUpstream:
+    """Send a subquery to an upstream's address and report its end as UpstreamAnswered.
+
+    The call must end within ``timeout_ms``.
+    """
+
+    call_id: str
+    address: str
+    subquery: Subquery
+    timeout_ms: float
+    connections: int
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/documents/data_centre.py
@@ -0,0 +1,15 @@
+"""Define the state that operators give a data centre."""
+
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct
+
+Name = Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
+class DataCentreDocument(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Name a data centre, its region, and whether operators have taken it out."""
+
+    name: Name
+    region: Name
+    state: Literal["in", "out"] = "in"
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/documents/index.py
@@ -0,0 +1,22 @@
+"""Define one version of a service's index."""
+
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct
+
+from geraniumlead.documents.shard import ShardEntry
+
+Name = Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
+class IndexDocument(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Map the shards of one index version of one service to upstreams.
+
+    Shards are numbered from 0 without gaps, so that a key's shard is its hash modulo
+    their number.
+    """
+
+    service: Name
+    version: Annotated[int, Meta(ge=1)]
+    shards: Annotated[list[ShardEntry], Meta(min_length=1)]
+    state: Literal["serving", "retired"] = "serving"
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/documents/instance_list.py
@@ -0,0 +1,16 @@
+"""Define the list of a data centre's instances."""
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from geraniumlead.documents.instance_entry import InstanceEntry
+
+Name = Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
+class InstanceListDocument(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """List the instances of one data centre; the platform's list lags behind the truth."""
+
+    data_centre: Name
+    instances: list[InstanceEntry]
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/events/peer_message_received.py
@@ -0,0 +1,13 @@
+"""Define the arrival of a peer's message."""
+
+from dataclasses import dataclass
+
+from geraniumlead.peers.messages import PeerMessage
+
+
+@dataclass(slots=True, frozen=True)
+class PeerMessageReceived:
+    """A peer, known by its authenticated name, sent a message."""
+
+    sender_id: str
+    message: PeerMessage
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/peers/messages.py
@@ -0,0 +1,128 @@
+"""Define the typed messages between instances; one union, told apart by a tag.
+
+All are msgpack arrays, so a field may only be added at the end, with a default: an older
+instance ignores it and a newer one fills it in.
+"""
+
+from msgspec import Struct
+
+from geraniumlead.documents.versioned import VersionedValue
+from geraniumlead.upstreams.answers import UpstreamAnswer
+from geraniumlead.upstreams.subquery import Subquery
+
+
+class ContractDemand(Struct, frozen=True, array_like=True):
+    """Report what one instance saw of one contract in the last reporting interval."""
+
+    customer: str
+    offered_per_s: float
+    admitted_per_s: float
+    running_requests: int
+
+
+class Heartbeat(Struct, frozen=True, array_like=True, tag="heartbeat"):
+    """Say that the sender lives, and which configuration it acts on."""
+
+    incarnation: str
+    data_centre: str
+    sequence: int
+    revision: int
+    ready: bool
+    demand: tuple[ContractDemand, ...] = ()
+
+
+class Goodbye(Struct, frozen=True, array_like=True, tag="goodbye"):
+    """Say that the sender is stopping and takes no new work."""
+
+    incarnation: str
+
+
+class DocumentsWanted(Struct, frozen=True, array_like=True, tag="documents_wanted"):
+    """Ask for all documents with a revision above ``above_revision``."""
+
+    above_revision: int
+
+
+class DocumentsUpdate(Struct, frozen=True, array_like=True, tag="documents_update"):
+    """Carry changed documents, and the platform revision that they bring a peer to."""
+
+    revision: int
+    documents: tuple[VersionedValue, ...]
+
+
+class SubqueryBatch(Struct, frozen=True, array_like=True, tag="subqueries"):
+    """Carry the subqueries for one owner that one batching tick collected."""
+
+    subqueries: tuple[Subquery, ...]
+
+
+class SubqueryResult(Struct, frozen=True, array_like=True):
+    """Carry the outcome of one subquery back to its coordinator."""
+
+    call_id: str
+    answer: UpstreamAnswer
+
+
+class SubqueryResultBatch(Struct, frozen=True, array_like=True, tag="results"):
+    """Carry the outcomes for one coordinator that one batching tick collected."""
+
+    results: tuple[SubqueryResult, ...]
+
+
+class CancelBatch(Struct, frozen=True, array_like=True, tag="cancels"):
+    """Ask an owner to cancel calls whose answers are no longer wanted."""
+
+    call_ids: tuple[str, ...]
+
+
+class UpstreamNotice(Struct, frozen=True, array_like=True, tag="upstream_notice"):
+    """Tell other owners of an upstream what was seen of it."""
+
+    upstream_id: str
+    state: str
+    since_ms_ago: float
+
+
+class QuarantineNotice(Struct, frozen=True, array_like=True, tag="quarantine"):
+    """Tell peers of a fingerprint that lost connections on several upstreams."""
+
+    fingerprint: int
+    strikes: int
+    remaining_ms: float
+
+
+class TicketedRequest(Struct, frozen=True, array_like=True, tag="ticketed_request"):
+    """Forward a non-idempotent request to the instance that issued its ticket."""
+
+    call_id: str
+    request_id: str
+    customer: str
+    class_name: str
+    query: bytes
+    key: str | None
+    ticket: str
+    remaining_ms: float
+
+
+class TicketedAnswer(Struct, frozen=True, array_like=True, tag="ticketed_answer"):
+    """Carry the outcome of a forwarded request, as the JSON text of the caller's answer."""
+
+    call_id: str
+    status: int
+    body: bytes
+    retry_after_ms: float = 0.0
+
+
+PeerMessage = (
+    Heartbeat
+    | Goodbye
+    | DocumentsWanted
+    | DocumentsUpdate
+    | SubqueryBatch
+    | SubqueryResultBatch
+    | CancelBatch
+    | UpstreamNotice
+    | QuarantineNotice
+    | TicketedRequest
+    | TicketedAnswer
+)
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/requests/__init__.py
@@ -0,0 +1,20 @@
+"""Describe what callers ask and what they are told."""
+
+from geraniumlead.requests.caller_request import CallerRequest
+from geraniumlead.requests.coverage import Coverage
+from geraniumlead.requests.missing_shard import MissingShard
+from geraniumlead.requests.outcomes import Answered, Failed, NotRun, Outcome, Unknown
+from geraniumlead.requests.reasons import MissingReason, RefusalReason
+
+__all__ = [
+    "Answered",
+    "CallerRequest",
+    "Coverage",
+    "Failed",
+    "MissingReason",
+    "MissingShard",
+    "NotRun",
+    "Outcome",
+    "RefusalReason",
+    "Unknown",
+]
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/settings/__init__.py
@@ -0,0 +1,8 @@
+"""Describe and load an instance's settings."""
+
+from geraniumlead.settings.instance_settings import InstanceSettings
+from geraniumlead.settings.limits import LimitSettings
+from geraniumlead.settings.listen import ListenSettings
+from geraniumlead.settings.timing import TimingSettings
+
+__all__ = ["InstanceSettings", "LimitSettings", "ListenSettings", "TimingSettings"]
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/settings/limits.py
@@ -0,0 +1,14 @@
+"""Define the bounds on what one instance takes in."""
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+
+class LimitSettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Bound bodies, open requests and queues of one instance."""
+
+    body_bytes: Annotated[int, Meta(ge=1024, le=16_777_216)] = 65_536
+    open_requests: Annotated[int, Meta(ge=1, le=1_000_000)] = 10_000
+    queued_requests: Annotated[int, Meta(ge=0, le=1_000_000)] = 2_000
+    fan_out_shards: Annotated[int, Meta(ge=1, le=100_000)] = 4_096
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/settings/timing.py
@@ -0,0 +1,26 @@
+"""Define the intervals and allowances that an instance's decisions use."""
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+Milliseconds = Annotated[float, Meta(ge=0, le=3_600_000)]
+
+
+class TimingSettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Set how often and how long; the defaults suit both users' sizes of today.
+
+    ``list_lag_ms`` is the longest time by which the platform's list of instances lags.
+    ``pause_gap_ms`` is the gap on the monotonic clock that makes a view stale.
+    ``stop_notice_ms`` is how long a stopping instance waits for the balancer to notice.
+    ``stop_bound_ms`` bounds the whole graceful shutdown.
+    """
+
+    heartbeat_interval_ms: Milliseconds = 500.0
+    peer_timeout_ms: Milliseconds = 2_500.0
+    list_lag_ms: Milliseconds = 3_000.0
+    pause_gap_ms: Milliseconds = 1_500.0
+    stop_notice_ms: Milliseconds = 1_500.0
+    stop_bound_ms: Milliseconds = 30_000.0
+    batch_tick_ms: Milliseconds = 5.0
+    ticket_valid_ms: Milliseconds = 60_000.0
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/upstreams/subquery.py
@@ -0,0 +1,28 @@
+"""Define the part of a query that goes to one shard."""
+
+from msgspec import Struct
+
+
+class Subquery(Struct, frozen=True, array_like=True):
+    """Ask one shard of one index version.
+
+    ``call_id`` is unique for the instance that coordinates the query; a retry or hedge gets
+    its own. ``remaining_ms`` is the time left when the message was made: clocks of different
+    instances are never compared. ``query`` is the JSON text of the query.
+    ``fingerprint`` identifies contract, class and normalised query for crash suspicion.
+    """
+
+    call_id: str
+    request_id: str
+    upstream_id: str
+    service: str
+    index_version: int
+    shard: int
+    remaining_ms: float
+    query: bytes
+    idempotent: bool = True
+    customer: str = ""
+    class_name: str = ""
+    priority: int = 0
+    fingerprint: int = 0
+    attempt: int = 1
