Serve a query end to end as separate processes

Cause: nothing ran yet. A caller's query now enters at a daemon, fans out to 20 shards, and comes back merged from one index version with its coverage; a ticketed booking sent again through the other instance returns the first outcome. Missing: hedges, cold start, fair admission, stale view, metrics, operators' command.

--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/callers/__init__.py
@@ -0,0 +1,5 @@
+"""Serve callers over HTTP."""
+
+from geraniumlead_server.callers.app import build_callers_app
+
+__all__ = ["build_callers_app"]
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/callers/app.py
@@ -0,0 +1,17 @@
+"""Assemble the callers' HTTP interface."""
+
+import falcon.asgi
+
+from geraniumlead_server.callers.queries import QueriesResource
+from geraniumlead_server.callers.ready import ReadyResource
+from geraniumlead_server.callers.tickets import TicketsResource
+from geraniumlead_server.driver import InstanceDriver
+
+
+def build_callers_app(driver: InstanceDriver) -> falcon.asgi.App:
+    """Return the ASGI application that callers and the balancer reach."""
+    app = falcon.asgi.App()
+    app.add_route("/v1/queries", QueriesResource(driver))
+    app.add_route("/v1/tickets", TicketsResource(driver))
+    app.add_route("/ready", ReadyResource(driver))
+    return app
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/callers/ready.py
@@ -0,0 +1,18 @@
+"""Tell the balancer whether to send requests here."""
+
+import falcon
+
+from geraniumlead_server.driver import InstanceDriver
+
+
+class ReadyResource:
+    """Answer 200 while the instance wants requests, else 503."""
+
+    def __init__(self, driver: InstanceDriver) -> None:
+        self._driver = driver
+
+    async def on_get(self, request, response) -> None:
+        """Report readiness."""
+        ready = self._driver.instance.is_ready
+        response.status = falcon.HTTP_200 if ready else falcon.HTTP_503
+        response.media = {"ready": ready}
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/daemon.py
@@ -0,0 +1,81 @@
+"""Assemble the parts of one entry instance and run them on one loop."""
+
+import asyncio
+import logging
+import signal
+from random import Random, SystemRandom
+
+from geraniumlead.actions import Action, CallUpstream, CancelCall, ReadPlatform, SendToPeer
+from geraniumlead.events import StopRequested
+from geraniumlead.instance import Instance
+from geraniumlead.settings import InstanceSettings
+from geraniumlead_server.callers import build_callers_app
+from geraniumlead_server.driver import InstanceDriver
+from geraniumlead_server.operators import build_operators_app
+from geraniumlead_server.peer_transport import PeerTransport
+from geraniumlead_server.platform_client import PlatformClient
+from geraniumlead_server.upstream_client import UpstreamClient
+from geraniumlead_server.web_server import WebServer
+
+logger = logging.getLogger("geraniumlead")
+
+
+class Daemon:
+    """Run one instance until it was asked to stop and its work has ended."""
+
+    def __init__(self, settings: InstanceSettings, random: Random) -> None:
+        self._settings = settings
+        self._random = random
+
+    @classmethod
+    def from_settings(cls, settings: InstanceSettings) -> "Daemon":
+        """Build a daemon; without a seed, the system's randomness is used."""
+        seed = settings.seed if settings.seed is not None else SystemRandom().getrandbits(64)
+        return cls(settings, Random(seed))
+
+    async def run(self) -> None:
+        """Serve, and return after a graceful stop."""
+        loop = asyncio.get_running_loop()
+        instance = Instance(self._settings, self._random, loop.time() * 1000.0)
+        driver = InstanceDriver(instance, self._carry_out)
+        self._upstreams = UpstreamClient(driver.handle)
+        self._platform = PlatformClient(
+            self._settings.platform_addresses, driver.handle, self._random
+        )
+        self._peers = PeerTransport(self._settings, driver.handle)
+        servers = [
+            WebServer.from_address(build_callers_app(driver), self._settings.listen.callers),
+            WebServer.from_address(build_operators_app(driver), self._settings.listen.operators),
+        ]
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, driver.handle, StopRequested())
+        self._peers.start()
+        driver.start()
+        tasks = [server.start() for server in servers]
+        logger.info("started", extra={"fields": {"incarnation": instance.incarnation}})
+        await driver.stopped.wait()
+        await self._close(servers, tasks)
+        logger.info("stopped")
+
+    async def _close(self, servers: list[WebServer], tasks: list[asyncio.Task]) -> None:
+        for server in servers:
+            server.should_exit = True
+        await asyncio.gather(*tasks)
+        await self._upstreams.close()
+        await self._platform.close()
+        self._peers.close()
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case CallUpstream():
+                self._upstreams.call(action)
+            case CancelCall(call_id=call_id):
+                self._upstreams.cancel(call_id)
+            case SendToPeer():
+                self._peers.send(action)
+            case ReadPlatform(stop=True):
+                self._platform.stop()
+            case ReadPlatform(watch=True):
+                self._platform.watch()
+            case ReadPlatform():
+                self._platform.read_once()
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/logs/json_formatter.py
@@ -0,0 +1,39 @@
+"""Format log records as one JSON object a line."""
+
+import logging
+import sys
+from datetime import UTC, datetime
+
+from msgspec.json import encode
+
+from geraniumlead.settings import InstanceSettings
+
+
+class JsonFormatter(logging.Formatter):
+    """Write the time, level, name and fields of a record, and who wrote it."""
+
+    def __init__(self, instance_id: str, data_centre: str) -> None:
+        super().__init__()
+        self._origin = {"instance": instance_id, "data_centre": data_centre}
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return one line of JSON without a line break."""
+        line = {
+            "time": datetime.fromtimestamp(record.created, UTC).isoformat(timespec="milliseconds"),
+            "level": record.levelname.lower(),
+            "event": record.getMessage(),
+            **self._origin,
+            **getattr(record, "fields", {}),
+        }
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return encode(line).decode()
+
+
+def configure_logging(settings: InstanceSettings) -> None:
+    """Send all log records to standard error as JSON lines."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(JsonFormatter(settings.instance_id, settings.data_centre))
+    logging.basicConfig(level=settings.log_level.upper(), handlers=[handler], force=True)
+    # The access log repeats what the request log says with more fields.
+    logging.getLogger("uvicorn.access").disabled = True
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/__init__.py
@@ -0,0 +1,5 @@
+"""Carry messages between instances."""
+
+from geraniumlead_server.peer_transport.transport import PeerTransport
+
+__all__ = ["PeerTransport"]
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/__init__.py
@@ -0,0 +1,5 @@
+"""Call upstreams over HTTP."""
+
+from geraniumlead_server.upstream_client.client import UpstreamClient
+
+__all__ = ["UpstreamClient"]
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/web_server.py
@@ -0,0 +1,44 @@
+"""Run ASGI applications under uvicorn on the daemon's own loop."""
+
+import asyncio
+
+from uvicorn import Config, Server
+
+GRACEFUL_SECONDS = 2
+
+
+class WebServer(Server):
+    """Serve one application; the daemon itself handles signals."""
+
+    @classmethod
+    def from_address(cls, app, address: str) -> "WebServer":
+        """Build a server for an application and an ``IP:port`` address."""
+        host, _, port = address.rpartition(":")
+        config = Config(
+            app,
+            host=host.strip("[]"),
+            port=int(port),
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            timeout_keep_alive=75,
+            timeout_graceful_shutdown=GRACEFUL_SECONDS,
+            h11_max_incomplete_event_size=16_384,
+        )
+        return cls(config)
+
+    def start(self) -> asyncio.Task:
+        """Serve in a task of the running loop."""
+        return asyncio.get_running_loop().create_task(self.serve())
+
+    def capture_signals(self):
+        """Leave the signals to the daemon, whose graceful stop takes longer."""
+        return _NoSignals()
+
+
+class _NoSignals:
+    def __enter__(self) -> None:
+        return None
+
+    def __exit__(self, *details) -> None:
+        return None
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/history/writer.py
@@ -0,0 +1,25 @@
+"""Write one process's part of a history."""
+
+import time
+from pathlib import Path
+
+from msgspec.json import encode
+
+
+class HistoryWriter:
+    """Append JSON lines; times are nanoseconds of the machine's monotonic clock.
+
+    All processes of a run share that clock, so their lines can be put in one order.
+    """
+
+    def __init__(self, path: Path | None, who: str) -> None:
+        self._file = path.open("ab") if path is not None else None
+        self._who = who
+
+    def write(self, event: str, **fields) -> None:
+        """Append one line and flush it, so that a killed process loses none."""
+        if self._file is None:
+            return
+        line = {"at_ns": time.monotonic_ns(), "who": self._who, "event": event, **fields}
+        self._file.write(encode(line) + b"\n")
+        self._file.flush()
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/load/__init__.py
@@ -0,0 +1,1 @@
+"""Send callers' requests and count what comes back."""
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the upstreams: many servers in one process."""
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/upstream/control.py
@@ -0,0 +1,28 @@
+"""Let a test set faults on the servers of a process."""
+
+from aiohttp import web
+from msgspec.json import decode
+
+from geraniumlead_standins.upstream.app import UpstreamApp
+
+
+class ControlApp:
+    """Take PUT /faults with upstream ids and what to change."""
+
+    def __init__(self, servers: dict[str, UpstreamApp]) -> None:
+        self._servers = servers
+
+    def build(self) -> web.Application:
+        """Return the web application."""
+        app = web.Application()
+        app.router.add_put("/faults", self._set_faults)
+        return app
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        for upstream_id, faults in decode(await request.read()).items():
+            server = self._servers[upstream_id]
+            server.slowdown = faults.get("slowdown", server.slowdown)
+            server.is_draining = faults.get("draining", server.is_draining)
+            if "cold_answers" in faults:
+                server.turn_cold(faults["cold_answers"])
+        return web.json_response({})
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/configuration/cluster_view.py
@@ -0,0 +1,68 @@
+"""Give the accepted documents in the shape that decisions ask for."""
+
+from dataclasses import dataclass, field
+
+from geraniumlead.configuration.placed_upstream import PlacedUpstream
+from geraniumlead.documents import (
+    ContractDocument,
+    DataCentreDocument,
+    IndexDocument,
+    InstanceEntry,
+    InstanceListDocument,
+    UpstreamListDocument,
+)
+
+
+@dataclass(slots=True)
+class ClusterView:
+    """Hold every accepted document, by name.
+
+    ``indexes`` maps a service to its serving index versions, newest first.
+    ``customer_of_credential`` maps the digest of a bearer token to a customer.
+    """
+
+    contracts: dict[str, ContractDocument] = field(default_factory=dict)
+    data_centres: dict[str, DataCentreDocument] = field(default_factory=dict)
+    upstreams: dict[str, PlacedUpstream] = field(default_factory=dict)
+    indexes: dict[str, tuple[IndexDocument, ...]] = field(default_factory=dict)
+    instances: dict[str, tuple[InstanceEntry, ...]] = field(default_factory=dict)
+    customer_of_credential: dict[str, str] = field(default_factory=dict)
+
+    @classmethod
+    def from_documents(cls, documents: list) -> "ClusterView":
+        """Build a view; the order of ``documents`` does not matter."""
+        view = cls()
+        for document in documents:
+            view._add(document)
+        for service, versions in view.indexes.items():
+            view.indexes[service] = tuple(sorted(versions, key=lambda index: -index.version))
+        return view
+
+    def _add(self, document) -> None:
+        match document:
+            case ContractDocument():
+                self.contracts[document.customer] = document
+                for digest in document.credentials_sha256:
+                    self.customer_of_credential[digest] = document.customer
+            case DataCentreDocument():
+                self.data_centres[document.name] = document
+            case UpstreamListDocument():
+                for entry in document.upstreams:
+                    self.upstreams[entry.upstream_id] = PlacedUpstream(entry, document.data_centre)
+            case IndexDocument(state="serving"):
+                versions = self.indexes.get(document.service, ())
+                self.indexes[document.service] = (*versions, document)
+            case InstanceListDocument():
+                self.instances[document.data_centre] = tuple(document.instances)
+
+    def is_data_centre_in(self, name: str) -> bool:
+        """Return whether operators let the data centre take new work."""
+        document = self.data_centres.get(name)
+        return document is None or document.state == "in"
+
+    def is_usable(self, upstream_id: str) -> bool:
+        """Return whether an upstream may be sent new work, as far as documents tell."""
+        placed = self.upstreams.get(upstream_id)
+        if placed is None or placed.entry.state == "leaving":
+            return False
+        return self.is_data_centre_in(placed.data_centre)
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/coordination/open_call.py
@@ -0,0 +1,17 @@
+"""Define a subquery that is out."""
+
+from dataclasses import dataclass
+
+from geraniumlead.coordination.open_query import OpenQuery
+from geraniumlead.coordination.shard_state import ShardState
+from geraniumlead.routing.route import Route
+
+
+@dataclass(slots=True)
+class OpenCall:
+    """Tie a call to its query and shard."""
+
+    query: OpenQuery
+    shard: ShardState
+    route: Route
+    sent_ms: float
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/__init__.py
@@ -0,0 +1,6 @@
+"""Run subqueries on the upstreams that this instance owns."""
+
+from geraniumlead.dispatch.dispatcher import Dispatcher
+from geraniumlead.dispatch.steps import DispatchStep, EndCall, StartCall, StopCall
+
+__all__ = ["DispatchStep", "Dispatcher", "EndCall", "StartCall", "StopCall"]
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/steps.py
@@ -0,0 +1,36 @@
+"""Define what a dispatcher asks for."""
+
+from dataclasses import dataclass
+
+from geraniumlead.documents.upstream_entry import UpstreamEntry
+from geraniumlead.upstreams.answers import UpstreamAnswer
+from geraniumlead.upstreams.subquery import Subquery
+
+
+@dataclass(slots=True, frozen=True)
+class StartCall:
+    """Send the subquery to the upstream now."""
+
+    subquery: Subquery
+    entry: UpstreamEntry
+    timeout_ms: float
+    connections: int
+
+
+@dataclass(slots=True, frozen=True)
+class StopCall:
+    """Cancel a call that was started."""
+
+    call_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class EndCall:
+    """Tell the coordinator ``origin`` how a subquery ended; None is this instance."""
+
+    origin: str | None
+    call_id: str
+    answer: UpstreamAnswer
+
+
+DispatchStep = StartCall | StopCall | EndCall
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/instance/__init__.py
@@ -0,0 +1,6 @@
+"""Compose the decisions into one state machine without I/O."""
+
+from geraniumlead.instance.instance import Instance
+from geraniumlead.instance.status import InstanceStatus
+
+__all__ = ["Instance", "InstanceStatus"]
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/instance/status.py
@@ -0,0 +1,20 @@
+"""Define the status that operators see of one instance."""
+
+from msgspec import Struct
+
+
+class InstanceStatus(Struct, frozen=True, kw_only=True):
+    """Summarise one instance; ages are in milliseconds, None where nothing was heard."""
+
+    instance_id: str
+    incarnation: str
+    data_centre: str
+    ready: bool
+    stopping: bool
+    revision: int
+    platform_age_ms: float | None
+    refused_documents: dict[str, str]
+    open_requests: int
+    peers: dict[str, bool]
+    data_centres: dict[str, str]
+    is_watcher: bool
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/instance/ticket_desk.py
@@ -0,0 +1,163 @@
+"""Serve tickets for callers of this instance and for forwarding peers."""
+
+from random import Random
+
+from geraniumlead.peers.messages import TicketedAnswer, TicketedRequest
+from geraniumlead.requests.caller_request import CallerRequest
+from geraniumlead.requests.outcome_codec import decode_outcome, encode_outcome
+from geraniumlead.requests.outcomes import Outcome, Unknown
+from geraniumlead.settings.instance_settings import InstanceSettings
+from geraniumlead.tickets.ticket_book import TicketBook
+from geraniumlead.tickets.ticket_name import TicketName
+
+FORWARDED_PREFIX = "forwarded."
+
+
+class TicketDesk:
+    """Tie the ticket book to the requests that came with a ticket.
+
+    A request with another instance's ticket goes to that instance. When no answer comes
+    back the outcome is unknown: the issuer may have run it.
+    """
+
+    __slots__ = (
+        "_book",
+        "_forwarded_in",
+        "_forwarded_out",
+        "_incarnation",
+        "_instance_id",
+        "_next_call",
+        "_requests",
+    )
+
+    def __init__(self, book: TicketBook, instance_id: str, incarnation: str) -> None:
+        self._book = book
+        self._instance_id = instance_id
+        self._incarnation = incarnation
+        self._requests: dict[str, CallerRequest] = {}
+        self._forwarded_out: dict[str, CallerRequest] = {}
+        self._forwarded_in: dict[str, tuple[str, str]] = {}
+        self._next_call = 0
+
+    @classmethod
+    def from_settings(
+        cls, settings: InstanceSettings, incarnation: str, random: Random
+    ) -> "TicketDesk":
+        """Open the desk of one incarnation."""
+        valid_ms = settings.timing.ticket_valid_ms
+        book = TicketBook(settings.instance_id, incarnation, valid_ms, random)
+        return cls(book, settings.instance_id, incarnation)
+
+    def issue(self, customer: str, class_name: str, now_ms: float) -> str:
+        """Return a new ticket."""
+        return self._book.issue(customer, class_name, now_ms)
+
+    def issuer_of(self, ticket: str) -> str | None:
+        """Return the instance that a ticket names; None for a malformed one."""
+        name = TicketName.from_text(ticket)
+        return None if name is None else name.instance_id
+
+    def is_own(self, ticket: str) -> bool:
+        """Return whether this instance issued the ticket, in this or an earlier life."""
+        return self.issuer_of(ticket) == self._instance_id
+
+    def claim(self, request: CallerRequest, now_ms: float) -> Outcome | None:
+        """Return the outcome that the ticket already has, or None when it may run."""
+        name = TicketName.from_text(request.ticket or "")
+        if name is not None and name.incarnation != self._incarnation:
+            # The incarnation that could have run it is gone, and its memory with it.
+            return Unknown("the instance that issued the ticket was restarted")
+        return self._book.claim(request, now_ms)
+
+    def join_running(self, request: CallerRequest) -> bool:
+        """Let a repeat wait for the running request; False when none runs."""
+        if not self._book.is_running(request.ticket or ""):
+            return False
+        self._book.wait_for(request.ticket or "", request.request_id)
+        self._requests[request.request_id] = request
+        return True
+
+    def start(self, request: CallerRequest) -> None:
+        """Use the ticket up, before anything is sent."""
+        self._book.start(request.ticket or "")
+        self._requests[request.request_id] = request
+
+    def finish(self, request: CallerRequest, outcome: Outcome) -> list[CallerRequest]:
+        """Remember the outcome; return the repeats that get it too."""
+        self._requests.pop(request.request_id, None)
+        waiting = self._book.finish(request.ticket or "", outcome)
+        return [self._requests.pop(name) for name in waiting if name in self._requests]
+
+    def is_ticketed(self, request_id: str) -> bool:
+        """Return whether an open request came with a ticket."""
+        return request_id in self._requests
+
+    def forward(self, request: CallerRequest, now_ms: float) -> tuple[TicketedRequest, Outcome]:
+        """Return the message for the issuer, and the outcome if it cannot be sent."""
+        self._next_call += 1
+        call_id = f"{self._instance_id}.{self._incarnation}.t{self._next_call}"
+        self._forwarded_out[call_id] = request
+        message = TicketedRequest(
+            call_id=call_id,
+            request_id=request.request_id,
+            customer=request.customer,
+            class_name=request.class_name,
+            query=request.query,
+            key=request.key,
+            ticket=request.ticket or "",
+            remaining_ms=request.deadline_ms - now_ms,
+        )
+        return message, Unknown("the instance that issued the ticket is gone")
+
+    def drop_forwarded(self, call_id: str) -> None:
+        """Forget a request that could not be forwarded."""
+        self._forwarded_out.pop(call_id, None)
+
+    def take_answer(self, message: TicketedAnswer) -> tuple[CallerRequest, Outcome] | None:
+        """Return the waiting request and its outcome; None when nobody waits any more."""
+        request = self._forwarded_out.pop(message.call_id, None)
+        return None if request is None else (request, decode_outcome(message.outcome))
+
+    def accept_forwarded(
+        self, sender_id: str, message: TicketedRequest, now_ms: float
+    ) -> CallerRequest:
+        """Return the peer's request as one of this instance."""
+        request_id = FORWARDED_PREFIX + message.call_id
+        self._forwarded_in[request_id] = (sender_id, message.call_id)
+        return CallerRequest(
+            request_id=request_id,
+            customer=message.customer,
+            class_name=message.class_name,
+            query=message.query,
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + message.remaining_ms,
+            least_coverage=1.0,
+            key=message.key,
+            ticket=message.ticket,
+        )
+
+    def take_forwarded(
+        self, request_id: str, outcome: Outcome
+    ) -> tuple[str, TicketedAnswer] | None:
+        """Return the message that answers a forwarded request; None for a caller's own."""
+        origin = self._forwarded_in.pop(request_id, None)
+        if origin is None:
+            return None
+        sender_id, call_id = origin
+        return sender_id, TicketedAnswer(call_id, encode_outcome(outcome))
+
+    def expire(self, now_ms: float) -> list[tuple[CallerRequest, Outcome]]:
+        """Return what no answer came for in time: forwarded requests and waiting repeats."""
+        late = [
+            (call_id, request)
+            for call_id, request in self._forwarded_out.items()
+            if request.deadline_ms <= now_ms
+        ]
+        for call_id, _ in late:
+            del self._forwarded_out[call_id]
+        outcome = Unknown("the instance that issued the ticket did not answer in time")
+        return [(request, outcome) for _, request in late]
+
+    def next_wake_ms(self) -> float | None:
+        """Return the earliest deadline of a forwarded request."""
+        return min((request.deadline_ms for request in self._forwarded_out.values()), default=None)
--- a/packages/geraniumlead/src/geraniumlead/peers/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peers/messages.py
@@ -105,12 +105,10 @@
 
 
 class TicketedAnswer(Struct, frozen=True, array_like=True, tag="ticketed_answer"):
-    """Carry the outcome of a forwarded request, as the JSON text of the caller's answer."""
+    """Carry the outcome of a forwarded request, encoded by ``encode_outcome``."""
 
     call_id: str
-    status: int
-    body: bytes
-    retry_after_ms: float = 0.0
+    outcome: bytes
 
 
 PeerMessage = (
--- a/packages/geraniumlead/src/geraniumlead/requests/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/requests/__init__.py
@@ -3,6 +3,7 @@
 from geraniumlead.requests.caller_request import CallerRequest
 from geraniumlead.requests.coverage import Coverage
 from geraniumlead.requests.missing_shard import MissingShard
+from geraniumlead.requests.outcome_codec import decode_outcome, encode_outcome
 from geraniumlead.requests.outcomes import Answered, Failed, NotRun, Outcome, Unknown
 from geraniumlead.requests.reasons import MissingReason, RefusalReason
 
@@ -17,4 +18,6 @@
     "Outcome",
     "RefusalReason",
     "Unknown",
+    "decode_outcome",
+    "encode_outcome",
 ]
