--- a/packages/geraniumlead-server/src/geraniumlead_server/callers/credentials.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/callers/credentials.py
@@ -15,7 +15,7 @@
     if not header.startswith(SCHEME):
         raise falcon.HTTPUnauthorized(title="a bearer token is needed")
     digest = sha256(header[len(SCHEME) :].encode()).hexdigest()
-    customer = driver.instance.store.view.customer_of_credential.get(digest)
+    customer = driver.instance.parts.store.view.customer_of_credential.get(digest)
     if customer is None:
         raise falcon.HTTPUnauthorized(title="no contract lists this token")
     return customer
--- a/packages/geraniumlead-server/src/geraniumlead_server/callers/queries.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/callers/queries.py
@@ -27,14 +27,14 @@
     async def on_post(self, request, response) -> None:
         """Answer one query with its final outcome."""
         customer = find_customer(self._driver, request)
-        limit_bytes = self._driver.instance.settings.limits.body_bytes
+        limit_bytes = self._driver.instance.parts.settings.limits.body_bytes
         body = await read_body(request, _DECODER, limit_bytes)
         asked = self._build_request(request, customer, body)
         answer = await self._driver.ask(QueryArrived(asked))
         render_outcome(response, asked.request_id, answer.outcome)
 
     def _build_request(self, request, customer: str, body: QueryBody) -> CallerRequest:
-        traffic_class = self._driver.instance.class_of(customer, body.class_name)
+        traffic_class = self._driver.instance.parts.class_of(customer, body.class_name)
         if traffic_class is None:
             raise falcon.HTTPBadRequest(title=f"the contract has no class {body.class_name!r}")
         if body.least_coverage is None:
--- a/packages/geraniumlead-server/src/geraniumlead_server/callers/ready.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/callers/ready.py
@@ -13,6 +13,6 @@
 
     async def on_get(self, request, response) -> None:
         """Report readiness."""
-        ready = self._driver.instance.is_ready
+        ready = self._driver.instance.parts.is_ready
         response.status = falcon.HTTP_200 if ready else falcon.HTTP_503
         response.media = {"ready": ready}
--- a/packages/geraniumlead-server/src/geraniumlead_server/callers/tickets.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/callers/tickets.py
@@ -24,7 +24,7 @@
     async def on_post(self, request, response) -> None:
         """Give one ticket."""
         customer = find_customer(self._driver, request)
-        limit_bytes = self._driver.instance.settings.limits.body_bytes
+        limit_bytes = self._driver.instance.parts.settings.limits.body_bytes
         body = await read_body(request, _DECODER, limit_bytes)
         request_id = uuid4().hex
         given = await self._driver.ask_ticket(TicketAsked(request_id, customer, body.class_name))
--- a/packages/geraniumlead-server/src/geraniumlead_server/daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/daemon.py
@@ -52,7 +52,7 @@
         self._peers.start()
         driver.start()
         tasks = [server.start() for server in servers]
-        logger.info("started", extra={"fields": {"incarnation": instance.incarnation}})
+        logger.info("started", extra={"fields": {"incarnation": instance.parts.incarnation}})
         await driver.stopped.wait()
         await self._close(servers, tasks)
         logger.info("stopped")
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/instance/call_handler.py
@@ -0,0 +1,121 @@
+"""Carry out the steps of the coordinator and the dispatcher."""
+
+from geraniumlead.actions import AnswerCaller, CallUpstream, CancelCall
+from geraniumlead.coordination import AskUpstream, CoordinationStep, DropCall, EndQuery
+from geraniumlead.dispatch import DispatchStep, EndCall, StartCall, StopCall
+from geraniumlead.events import UpstreamAnswered
+from geraniumlead.instance.parts import InstanceParts
+from geraniumlead.peers import SubqueryBatch, SubqueryResult, SubqueryResultBatch, TicketedAnswer
+from geraniumlead.requests import CallerRequest, Outcome
+
+
+class CallHandler:
+    """Move subqueries between coordinator, dispatcher, upstreams and peers."""
+
+    __slots__ = ("_parts",)
+
+    def __init__(self, parts: InstanceParts) -> None:
+        self._parts = parts
+
+    def take_answer(self, event: UpstreamAnswered, now_ms: float) -> None:
+        """Take in the end of a call to an upstream."""
+        steps = self._parts.dispatcher.finish(event.call_id, event.answer, now_ms)
+        self.run_dispatch(steps, now_ms)
+
+    def take_subqueries(self, sender_id: str, batch: SubqueryBatch, now_ms: float) -> None:
+        """Run a peer's subqueries on upstreams of this instance."""
+        for subquery in batch.subqueries:
+            steps = self._parts.dispatcher.submit(subquery, sender_id, now_ms)
+            self.run_dispatch(steps, now_ms)
+
+    def take_results(self, batch: SubqueryResultBatch, now_ms: float) -> None:
+        """Take in the ends of subqueries that a peer ran for this instance."""
+        for result in batch.results:
+            steps = self._parts.coordinator.finish_call(result.call_id, result.answer, now_ms)
+            self.run_coordination(steps, now_ms)
+
+    def cancel(self, call_ids: tuple[str, ...], now_ms: float) -> None:
+        """Cancel a peer's subqueries."""
+        for call_id in call_ids:
+            self.run_dispatch(self._parts.dispatcher.cancel(call_id, "", now_ms), now_ms)
+
+    def run_coordination(self, steps: list[CoordinationStep], now_ms: float) -> None:
+        """Carry out what the coordinator asks for."""
+        parts = self._parts
+        for step in steps:
+            match step:
+                case AskUpstream(subquery=subquery, route=route):
+                    if route.owner_id is None:
+                        self.run_dispatch(parts.dispatcher.submit(subquery, None, now_ms), now_ms)
+                    else:
+                        parts.batcher.add_subquery(route.owner_id, subquery, now_ms)
+                case DropCall(call_id=call_id, route=route):
+                    if route.owner_id is None:
+                        stopped = parts.dispatcher.cancel(call_id, route.upstream_id, now_ms)
+                        self.run_dispatch(stopped, now_ms)
+                    else:
+                        parts.batcher.add_cancel(route.owner_id, call_id, now_ms)
+                case EndQuery():
+                    self._end_query(step, now_ms)
+
+    def run_dispatch(self, steps: list[DispatchStep], now_ms: float) -> None:
+        """Carry out what the dispatcher asks for."""
+        parts = self._parts
+        for step in steps:
+            match step:
+                case StartCall(subquery=subquery, entry=entry):
+                    parts.actions.append(
+                        CallUpstream(
+                            subquery.call_id,
+                            entry.address,
+                            subquery,
+                            step.timeout_ms,
+                            step.connections,
+                        )
+                    )
+                case StopCall(call_id=call_id):
+                    parts.actions.append(CancelCall(call_id))
+                case EndCall(origin=None, call_id=call_id, answer=answer):
+                    ended = parts.coordinator.finish_call(call_id, answer, now_ms)
+                    self.run_coordination(ended, now_ms)
+                case EndCall(origin=origin, call_id=call_id, answer=answer):
+                    parts.batcher.add_result(origin, SubqueryResult(call_id, answer), now_ms)
+
+    def answer(
+        self,
+        request: CallerRequest,
+        outcome: Outcome,
+        queued_ms: float = 0.0,
+        subqueries: int = 0,
+        extra_subqueries: int = 0,
+    ) -> None:
+        """Give a request its outcome, here or through the peer that holds its caller."""
+        forwarded = self._parts.tickets.take_forwarded(request.request_id, outcome)
+        if forwarded is not None:
+            sender_id, message = forwarded
+            self._answer_peer(sender_id, message)
+            return
+        self._parts.actions.append(
+            AnswerCaller(
+                request_id=request.request_id,
+                customer=request.customer,
+                class_name=request.class_name,
+                outcome=outcome,
+                arrived_ms=request.arrived_ms,
+                queued_ms=queued_ms,
+                subqueries=subqueries,
+                extra_subqueries=extra_subqueries,
+            )
+        )
+
+    def _answer_peer(self, sender_id: str, message: TicketedAnswer) -> None:
+        # A peer that is no longer listed gets nothing; its caller learns "unknown" in time.
+        self._parts.send(sender_id, message)
+
+    def _end_query(self, step: EndQuery, now_ms: float) -> None:
+        request = step.request
+        self._parts.admission.release(request.request_id, now_ms)
+        self.answer(request, step.outcome, step.queued_ms, step.subqueries, step.extra_subqueries)
+        if request.ticket is not None:
+            for waiting in self._parts.tickets.finish(request, step.outcome):
+                self.answer(waiting, step.outcome)
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/instance/heartbeat_handler.py
@@ -0,0 +1,43 @@
+"""Send signs of life, and end the process when its graceful stop is done."""
+
+from geraniumlead.actions import StopNow
+from geraniumlead.instance.parts import InstanceParts
+from geraniumlead.peers import Goodbye, Heartbeat
+
+
+class HeartbeatHandler:
+    """Beat at a steady interval."""
+
+    __slots__ = ("_parts", "_sequence", "due_ms")
+
+    def __init__(self, parts: InstanceParts, now_ms: float) -> None:
+        self._parts = parts
+        self._sequence = 0
+        self.due_ms = now_ms
+
+    def beat_if_due(self, now_ms: float) -> None:
+        """Send a heartbeat to every listed peer when the interval has passed."""
+        if now_ms < self.due_ms:
+            return
+        parts = self._parts
+        self.due_ms = now_ms + parts.settings.timing.heartbeat_interval_ms
+        self._sequence += 1
+        heartbeat = Heartbeat(
+            incarnation=parts.incarnation,
+            data_centre=parts.settings.data_centre,
+            sequence=self._sequence,
+            revision=parts.store.revision,
+            ready=parts.is_ready,
+        )
+        for instance_id in parts.membership.peers:
+            parts.send(instance_id, heartbeat)
+        open_requests = len(parts.coordinator)
+        if parts.lifecycle.may_exit(open_requests, now_ms):
+            parts.actions.append(StopNow(open_requests))
+
+    def begin_stop(self, now_ms: float) -> None:
+        """Begin the graceful stop and tell the peers."""
+        if not self._parts.lifecycle.ask_stop(now_ms):
+            return
+        for instance_id in self._parts.membership.peers:
+            self._parts.send(instance_id, Goodbye(self._parts.incarnation))
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/instance/parts.py
@@ -0,0 +1,82 @@
+"""Hold the decisions that one instance is composed of."""
+
+from random import Random
+
+from geraniumlead.actions import Action, SendToPeer
+from geraniumlead.admission import AdmissionController
+from geraniumlead.configuration import DocumentStore
+from geraniumlead.coordination import QueryCoordinator
+from geraniumlead.dispatch import Dispatcher
+from geraniumlead.documents import TrafficClass
+from geraniumlead.instance.batcher import PeerBatcher
+from geraniumlead.instance.lifecycle import Lifecycle
+from geraniumlead.instance.ticket_desk import TicketDesk
+from geraniumlead.membership import Membership
+from geraniumlead.peers import PeerMessage
+from geraniumlead.routing import Router
+from geraniumlead.settings import InstanceSettings
+
+INCARNATION_BITS = 48
+
+
+class InstanceParts:
+    """Compose the decisions of one instance, and collect the actions they lead to.
+
+    The handlers share one InstanceParts; each of them turns one kind of event into calls
+    of the decisions and their outcomes into ``actions``.
+    """
+
+    __slots__ = (
+        "actions",
+        "admission",
+        "batcher",
+        "coordinator",
+        "dispatcher",
+        "incarnation",
+        "lifecycle",
+        "membership",
+        "random",
+        "router",
+        "settings",
+        "store",
+        "tickets",
+    )
+
+    def __init__(self, settings: InstanceSettings, random: Random) -> None:
+        instance_id, data_centre = settings.instance_id, settings.data_centre
+        self.settings = settings
+        self.random = random
+        self.incarnation = f"{random.getrandbits(INCARNATION_BITS):012x}"
+        self.actions: list[Action] = []
+        self.store = DocumentStore()
+        self.membership = Membership(instance_id, data_centre, settings.timing.peer_timeout_ms)
+        self.lifecycle = Lifecycle(settings.timing)
+        self.admission = AdmissionController(settings.limits)
+        self.router = Router(instance_id, data_centre, self.membership, random)
+        self.coordinator = QueryCoordinator(f"{instance_id}.{self.incarnation}.", self.router)
+        self.dispatcher = Dispatcher(instance_id)
+        self.batcher = PeerBatcher(settings.timing.batch_tick_ms)
+        self.tickets = TicketDesk.from_settings(settings, self.incarnation, random)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return what the balancer is told."""
+        in_service = self.store.view.is_data_centre_in(self.settings.data_centre)
+        return self.lifecycle.is_serving and in_service
+
+    def class_of(self, customer: str, class_name: str) -> TrafficClass | None:
+        """Return a class of a contract in force."""
+        contract = self.store.view.contracts.get(customer)
+        classes = contract.classes if contract is not None else ()
+        return next((found for found in classes if found.name == class_name), None)
+
+    def send(self, instance_id: str, message: PeerMessage) -> bool:
+        """Send a message to a listed peer; False when it is not listed."""
+        peer = self.membership.peers.get(instance_id)
+        if peer is None:
+            return False
+        entry = peer.entry
+        self.actions.append(
+            SendToPeer(instance_id, entry.peer_address, message, entry.peer_public_key)
+        )
+        return True
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
@@ -0,0 +1,123 @@
+"""Take callers' requests and tickets."""
+
+from geraniumlead.actions import GiveTicket
+from geraniumlead.admission import Admitted, Queued, Refused
+from geraniumlead.events import TicketAsked
+from geraniumlead.instance.call_handler import CallHandler
+from geraniumlead.instance.parts import InstanceParts
+from geraniumlead.peers import TicketedAnswer, TicketedRequest
+from geraniumlead.planning import plan_query
+from geraniumlead.requests import CallerRequest, NotRun, RefusalReason
+
+REFUSAL_RETRY_AFTER_MS = 1_000.0
+
+
+class RequestHandler:
+    """Admit requests, start their queries, and give out tickets."""
+
+    __slots__ = ("_calls", "_parts")
+
+    def __init__(self, parts: InstanceParts, calls: CallHandler) -> None:
+        self._parts = parts
+        self._calls = calls
+
+    def take_request(self, request: CallerRequest, now_ms: float) -> None:
+        """Start, queue, forward or refuse a request."""
+        tickets = self._parts.tickets
+        if request.ticket is not None:
+            if not tickets.is_own(request.ticket):
+                self._forward(request, now_ms)
+                return
+            outcome = tickets.claim(request, now_ms)
+            if outcome is not None:
+                self._calls.answer(request, outcome)
+                return
+            if tickets.join_running(request):
+                return
+        match self._parts.admission.offer(request, now_ms):
+            case Admitted():
+                self._start_query(request, now_ms)
+            case Refused(reason=reason, retry_after_ms=retry_after_ms):
+                self._calls.answer(request, NotRun(reason, retry_after_ms))
+            case Queued():
+                pass
+
+    def take_ready(self, now_ms: float) -> None:
+        """Start or give up the requests whose wait is over."""
+        for decision in self._parts.admission.take_ready(now_ms):
+            match decision:
+                case Admitted(request=request):
+                    self._start_query(request, now_ms)
+                case Refused(request=request, reason=reason, retry_after_ms=retry_after_ms):
+                    self._calls.answer(request, NotRun(reason, retry_after_ms))
+
+    def drop_caller(self, request_id: str, now_ms: float) -> None:
+        """Forget a request whose caller is gone."""
+        # A ticket's request goes on: its caller may come back for the outcome.
+        if self._parts.tickets.is_ticketed(request_id):
+            return
+        self._parts.admission.release(request_id, now_ms)
+        self._calls.run_coordination(self._parts.coordinator.drop(request_id), now_ms)
+
+    def give_ticket(self, event: TicketAsked, now_ms: float) -> None:
+        """Give out a ticket for one request of a non-idempotent class."""
+        parts = self._parts
+        traffic_class = parts.class_of(event.customer, event.class_name)
+        if traffic_class is None or traffic_class.idempotent:
+            refusal = NotRun(RefusalReason.TICKET_INVALID, 0.0)
+            parts.actions.append(GiveTicket(event.request_id, None, 0.0, refusal))
+            return
+        ticket = parts.tickets.issue(event.customer, event.class_name, now_ms)
+        valid_ms = parts.settings.timing.ticket_valid_ms
+        parts.actions.append(GiveTicket(event.request_id, ticket, valid_ms))
+
+    def take_forwarded(self, sender_id: str, message: TicketedRequest, now_ms: float) -> None:
+        """Take a request that a peer forwarded because its ticket was issued here."""
+        request = self._parts.tickets.accept_forwarded(sender_id, message, now_ms)
+        self.take_request(request, now_ms)
+
+    def take_ticketed_answer(self, message: TicketedAnswer) -> None:
+        """Answer a request that was forwarded to the issuer of its ticket."""
+        ended = self._parts.tickets.take_answer(message)
+        if ended is not None:
+            self._calls.answer(*ended)
+
+    def expire_forwarded(self, now_ms: float) -> None:
+        """Answer the forwarded requests that no answer came for in time."""
+        for request, outcome in self._parts.tickets.expire(now_ms):
+            self._calls.answer(request, outcome)
+
+    def _forward(self, request: CallerRequest, now_ms: float) -> None:
+        tickets = self._parts.tickets
+        issuer_id = tickets.issuer_of(request.ticket or "")
+        if issuer_id is None:
+            self._calls.answer(request, NotRun(RefusalReason.TICKET_INVALID, 0.0))
+            return
+        message, outcome = tickets.forward(request, now_ms)
+        if not self._parts.send(issuer_id, message):
+            tickets.drop_forwarded(message.call_id)
+            self._calls.answer(request, outcome)
+
+    def _start_query(self, request: CallerRequest, now_ms: float) -> None:
+        parts = self._parts
+        traffic_class = parts.class_of(request.customer, request.class_name)
+        if traffic_class is None:
+            self._refuse_admitted(request, RefusalReason.CONTRACT_UNKNOWN, now_ms)
+            return
+        if not traffic_class.idempotent and request.ticket is None:
+            self._refuse_admitted(request, RefusalReason.TICKET_NEEDED, now_ms)
+            return
+        plan = plan_query(parts.store.view, traffic_class.service, request.key)
+        if plan is None:
+            self._refuse_admitted(request, RefusalReason.NO_INDEX, now_ms)
+            return
+        if request.ticket is not None:
+            parts.tickets.start(request)
+        steps = parts.coordinator.start(request, traffic_class, plan, now_ms)
+        self._calls.run_coordination(steps, now_ms)
+
+    def _refuse_admitted(
+        self, request: CallerRequest, reason: RefusalReason, now_ms: float
+    ) -> None:
+        self._parts.admission.release(request.request_id, now_ms)
+        self._calls.answer(request, NotRun(reason, REFUSAL_RETRY_AFTER_MS))
