Drive instances in virtual time with small fakes

Cause: decisions and histories need runs that repeat exactly. Ruled out: a model of the instance, which would prove the model only.

--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/fake_link.py
@@ -0,0 +1,44 @@
+"""Delay, lose and cut what passes between two ends."""
+
+from random import Random
+
+
+class FakeLink:
+    """Give each message its delay, or lose it.
+
+    Ends are names of instances, of upstreams, or ``platform``. ``cut`` holds ordered pairs,
+    so a cut may be one-way.
+    """
+
+    __slots__ = ("_delays_ms", "_random", "cut", "default_delay_ms", "jitter", "loss")
+
+    def __init__(self, random: Random, default_delay_ms: float = 0.25) -> None:
+        self._random = random
+        self._delays_ms: dict[tuple[str, str], float] = {}
+        self.default_delay_ms = default_delay_ms
+        self.jitter = 0.2
+        self.loss = 0.0
+        self.cut: set[tuple[str, str]] = set()
+
+    def set_delay(self, sender: str, receiver: str, delay_ms: float) -> None:
+        """Set the one-way delay between two ends."""
+        self._delays_ms[sender, receiver] = delay_ms
+
+    def cut_between(self, group: set[str], others: set[str]) -> None:
+        """Cut both directions between two groups of ends."""
+        for one in group:
+            for other in others:
+                self.cut |= {(one, other), (other, one)}
+
+    def heal(self) -> None:
+        """Remove all cuts."""
+        self.cut.clear()
+
+    def draw_delay_ms(self, sender: str, receiver: str) -> float | None:
+        """Return the delay of one message, or None when it is lost."""
+        if (sender, receiver) in self.cut:
+            return None
+        if self.loss and self._random.random() < self.loss:
+            return None
+        delay_ms = self._delays_ms.get((sender, receiver), self.default_delay_ms)
+        return delay_ms * (1.0 + self.jitter * self._random.random())
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/fake_platform.py
@@ -0,0 +1,32 @@
+"""Hold what operators published, for reads and watches in virtual time."""
+
+from geraniumlead.documents import VersionedValue
+
+
+class FakePlatform:
+    """Keep documents and revisions; may be down, or serve an old copy."""
+
+    __slots__ = ("_changes", "calls", "is_down", "revision", "stale_at_revision")
+
+    def __init__(self) -> None:
+        self._changes: list[VersionedValue] = []
+        self.revision = 0
+        self.is_down = False
+        self.stale_at_revision: int | None = None
+        self.calls = 0
+
+    def publish(self, values: dict[str, bytes | None]) -> tuple[VersionedValue, ...]:
+        """Publish values, each at a revision of its own; None deletes."""
+        published = []
+        for key, value in values.items():
+            self.revision += 1
+            published.append(VersionedValue(key, self.revision, value))
+        self._changes += published
+        return tuple(published)
+
+    def read(self) -> tuple[int, tuple[VersionedValue, ...]]:
+        """Return the revision and live documents that a reader sees now."""
+        self.calls += 1
+        seen = self.revision if self.stale_at_revision is None else self.stale_at_revision
+        newest = {change.key: change for change in self._changes if change.revision <= seen}
+        return seen, tuple(change for change in newest.values() if change.value is not None)
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/fake_upstream.py
@@ -0,0 +1,150 @@
+"""Answer subqueries in virtual time as one upstream does."""
+
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from geraniumlead.upstreams import (
+    Cold,
+    ConnectionLost,
+    Draining,
+    NotReached,
+    Records,
+    Shed,
+    Subquery,
+    UpstreamAnswer,
+    WrongVersion,
+)
+from geraniumlead_standins.virtual.event_queue import EventQueue
+
+CRASHED_MS = 2_000.0
+QUEUED_PER_SLOT = 8
+
+Answer = Callable[[UpstreamAnswer], None]
+
+
+@dataclass(slots=True)
+class Running:
+    """Remember one call in the upstream."""
+
+    subquery: Subquery
+    answer: Answer
+    is_cancelled: bool = False
+
+
+@dataclass(slots=True)
+class FakeUpstream:
+    """Run at most ``slots`` calls at once; queue some and shed the rest.
+
+    While ``cold_answers_left`` is above 0, more than ``cold_allowance`` calls at once make it
+    fall over. A query whose text holds ``crash_text`` crashes it. ``holds`` maps index
+    versions to shards. ``log`` gets every receipt, run, crash and fall, for histories.
+    """
+
+    upstream_id: str
+    queue: EventQueue
+    random: Random
+    slots: int = 2
+    cold_allowance: int = 1
+    median_ms: float = 4.0
+    sigma: float = 0.4
+    slowdown: float = 1.0
+    holds: dict[int, set[int]] = field(default_factory=dict)
+    crash_text: bytes = b"crash"
+    cold_answers_left: int = 0
+    is_draining: bool = False
+    is_silent: bool = False
+    down_until_ms: float = 0.0
+    fallen: int = 0
+    crashes: int = 0
+    most_while_cold: int = 0
+    received: int = 0
+    log: Callable[..., None] = lambda **line: None
+    _running: list[Running] = field(default_factory=list)
+    _waiting: deque[Running] = field(default_factory=deque)
+
+    def receive(self, subquery: Subquery, answer: Answer) -> Running | None:
+        """Take a call; ``answer`` is called once, later, unless the upstream is silent."""
+        self.received += 1
+        self.log(event="received", call_id=subquery.call_id, request_id=subquery.request_id)
+        refusal = self._refuse(subquery)
+        if refusal is not None:
+            answer(refusal)
+            return None
+        call = Running(subquery, answer)
+        if self.cold_answers_left > 0:
+            at_once = len(self._running) + len(self._waiting) + 1
+            self.most_while_cold = max(self.most_while_cold, at_once)
+            if at_once > self.cold_allowance:
+                self.fallen += 1
+                self._go_down("fell_over", call)
+                return None
+        if self.crash_text in subquery.query:
+            self.crashes += 1
+            self._go_down("crashed", call)
+            return None
+        self._waiting.append(call)
+        self._start_waiting()
+        return call
+
+    def cancel(self, call: Running) -> None:
+        """Give up a call: a waiting one never runs, a running one frees its slot."""
+        call.is_cancelled = True
+        if call in self._waiting:
+            self._waiting.remove(call)
+        elif call in self._running:
+            self._running.remove(call)
+            self._start_waiting()
+
+    def restart(self, cold_answers: int) -> None:
+        """Lose all calls and come back cold."""
+        self.cold_answers_left = cold_answers
+        self._lose_all()
+
+    def _refuse(self, subquery: Subquery) -> UpstreamAnswer | None:
+        if self.queue.now_ms < self.down_until_ms:
+            return NotReached("connection refused")
+        if self.is_draining:
+            return Draining()
+        if subquery.shard not in self.holds.get(subquery.index_version, ()):
+            return WrongVersion(tuple(sorted(self.holds)))
+        if len(self._waiting) >= self.slots * QUEUED_PER_SLOT:
+            return Cold() if self.cold_answers_left else Shed(20.0)
+        return None
+
+    def _start_waiting(self) -> None:
+        while self._waiting and len(self._running) < self.slots:
+            call = self._waiting.popleft()
+            self._running.append(call)
+            drawn_ms = self.random.lognormvariate(math.log(self.median_ms), self.sigma)
+            self.queue.add(
+                self.queue.now_ms + drawn_ms * self.slowdown, lambda call=call: self._finish(call)
+            )
+
+    def _finish(self, call: Running) -> None:
+        if call not in self._running:
+            return
+        self._running.remove(call)
+        subquery = call.subquery
+        self.log(event="ran", call_id=subquery.call_id, request_id=subquery.request_id)
+        was_cold = self.cold_answers_left > 0
+        self.cold_answers_left = max(0, self.cold_answers_left - 1)
+        text = f'[{{"id":"v{subquery.index_version}-s{subquery.shard}"}}]'.encode()
+        if not self.is_silent:
+            call.answer(Records(subquery.index_version, subquery.shard, text, was_cold))
+        self._start_waiting()
+
+    def _go_down(self, event: str, last: Running) -> None:
+        self.log(event=event, call_id=last.subquery.call_id, request_id=last.subquery.request_id)
+        self.down_until_ms = self.queue.now_ms + CRASHED_MS
+        last.answer(ConnectionLost(event))
+        self._lose_all()
+
+    def _lose_all(self) -> None:
+        lost = [*self._running, *self._waiting]
+        self._running.clear()
+        self._waiting.clear()
+        for call in lost:
+            call.answer(ConnectionLost("reset"))
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/virtual_run.py
@@ -0,0 +1,226 @@
+"""Run instances, upstreams and a platform in one process, in virtual time."""
+
+from collections.abc import Callable
+from random import Random
+
+from geraniumlead.actions import (
+    Action,
+    AnswerCaller,
+    CallUpstream,
+    CancelCall,
+    GiveTicket,
+    ReadPlatform,
+    SendToPeer,
+    StopNow,
+)
+from geraniumlead.events import (
+    DocumentsReceived,
+    Event,
+    PeerMessageReceived,
+    PlatformSilent,
+    TimerFired,
+    UpstreamAnswered,
+)
+from geraniumlead.instance import Instance
+from geraniumlead.peers import decode_message, encode_message
+from geraniumlead.settings import InstanceSettings
+from geraniumlead.upstreams import NotReached, TimedOut, UpstreamAnswer
+from geraniumlead_standins.virtual.event_queue import EventQueue
+from geraniumlead_standins.virtual.fake_link import FakeLink
+from geraniumlead_standins.virtual.fake_platform import FakePlatform
+from geraniumlead_standins.virtual.fake_upstream import FakeUpstream, Running
+from geraniumlead_standins.virtual.virtual_instance import VirtualInstance
+
+PLATFORM = "platform"
+PLATFORM_RETRY_MS = 500.0
+
+AnswerObserver = Callable[[str, AnswerCaller | GiveTicket, float], None]
+
+
+class VirtualRun:
+    """Carry the actions of instances to fakes and what comes of them back as events.
+
+    All randomness comes from ``seed``, so a run gives the same history each time.
+    ``on_answer`` is called with the instance's name, the action and the time.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.random = Random(seed)
+        self.queue = EventQueue()
+        self.link = FakeLink(Random(self.random.random()))
+        self.platform = FakePlatform()
+        self.upstreams: dict[str, FakeUpstream] = {}
+        self.instances: dict[str, VirtualInstance] = {}
+        self.on_answer: AnswerObserver = lambda name, action, now_ms: None
+        self.on_action: Callable[[str, Action, float], None] = lambda name, action, now_ms: None
+        self._calls: dict[tuple[str, str], tuple[FakeUpstream, Running | None]] = {}
+
+    @property
+    def now_ms(self) -> float:
+        """Return the virtual time."""
+        return self.queue.now_ms
+
+    def add_upstream(self, address: str, upstream_id: str, **changes) -> FakeUpstream:
+        """Start an upstream that listens on an address."""
+        random = Random(self.random.random())
+        upstream = FakeUpstream(upstream_id, self.queue, random, **changes)
+        self.upstreams[address] = upstream
+        return upstream
+
+    def start_instance(self, settings: InstanceSettings) -> Instance:
+        """Start, or start anew, the process of an instance."""
+        name = settings.instance_id
+        instance = Instance(settings, Random(self.random.random()), self.now_ms)
+        self.instances[name] = VirtualInstance(instance)
+        self._carry_out(name, instance.start(self.now_ms))
+        self.deliver(name, TimerFired())
+        return instance
+
+    def publish(self, values: dict[str, bytes | None]) -> None:
+        """Publish documents; watchers that reach the platform hear of them."""
+        published = self.platform.publish(values)
+        for name, host in self.instances.items():
+            if host.is_watching and self._is_platform_reachable(name):
+                event = DocumentsReceived(self.platform.revision, published, is_snapshot=False)
+                delay_ms = self.link.draw_delay_ms(PLATFORM, name) or 0.0
+                self.queue.add(self.now_ms + delay_ms, lambda n=name, e=event: self.deliver(n, e))
+
+    def kill(self, name: str) -> None:
+        """End a process without notice; its calls are cut off."""
+        self.instances[name].is_alive = False
+        for (caller, call_id), (upstream, running) in list(self._calls.items()):
+            if caller == name:
+                del self._calls[caller, call_id]
+                if running is not None:
+                    upstream.cancel(running)
+
+    def freeze(self, name: str) -> None:
+        """Stop a process; what arrives waits for it."""
+        self.instances[name].is_frozen = True
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on with what arrived meanwhile."""
+        host = self.instances[name]
+        host.is_frozen = False
+        while host.held_back:
+            self.deliver(name, host.held_back.popleft())
+        self.deliver(name, TimerFired())
+
+    def deliver(self, name: str, event: Event) -> None:
+        """Pass an event to an instance now."""
+        host = self.instances.get(name)
+        if host is None or not host.is_alive:
+            return
+        if host.is_frozen:
+            host.held_back.append(event)
+            return
+        self._carry_out(name, host.instance.handle(event, self.now_ms))
+        self._arm(name, host)
+
+    def _arm(self, name: str, host: VirtualInstance) -> None:
+        wake_ms = host.instance.next_wake_ms()
+        if wake_ms == host.wake_ms:
+            return
+        host.wake_ms = wake_ms
+
+        def wake() -> None:
+            current = self.instances.get(name)
+            if current is host and host.wake_ms == wake_ms and not host.is_frozen:
+                host.wake_ms = float("inf")
+                self.deliver(name, TimerFired())
+
+        self.queue.add(wake_ms, wake)
+
+    def _carry_out(self, name: str, actions: list[Action]) -> None:
+        for action in actions:
+            self.on_action(name, action, self.now_ms)
+            match action:
+                case CallUpstream():
+                    self._call_upstream(name, action)
+                case CancelCall(call_id=call_id):
+                    self._cancel_call(name, call_id)
+                case SendToPeer():
+                    self._send_to_peer(name, action)
+                case AnswerCaller() | GiveTicket():
+                    self.on_answer(name, action, self.now_ms)
+                case ReadPlatform():
+                    self._read_platform(name, action)
+                case StopNow():
+                    self.kill(name)
+
+    def _call_upstream(self, name: str, action: CallUpstream) -> None:
+        upstream = self.upstreams.get(action.address)
+        if upstream is None:
+            answered = UpstreamAnswered(action.call_id, NotReached("nothing listens there"))
+            self.queue.add(self.now_ms, lambda: self.deliver(name, answered))
+            return
+        self._calls[name, action.call_id] = (upstream, None)
+        self.queue.add(
+            self.now_ms + action.timeout_ms, lambda: self._end_call(name, action, TimedOut())
+        )
+        delay_ms = self.link.draw_delay_ms(name, upstream.upstream_id)
+        if delay_ms is not None:
+            self.queue.add(self.now_ms + delay_ms, lambda: self._arrive(name, action, upstream))
+
+    def _arrive(self, name: str, action: CallUpstream, upstream: FakeUpstream) -> None:
+        if (name, action.call_id) not in self._calls:
+            return
+
+        def answer(found: UpstreamAnswer) -> None:
+            delay_ms = self.link.draw_delay_ms(upstream.upstream_id, name)
+            if delay_ms is not None:
+                self.queue.add(self.now_ms + delay_ms, lambda: self._end_call(name, action, found))
+
+        running = upstream.receive(action.subquery, answer)
+        if (name, action.call_id) in self._calls:
+            self._calls[name, action.call_id] = (upstream, running)
+
+    def _end_call(self, name: str, action: CallUpstream, answer: UpstreamAnswer) -> None:
+        held = self._calls.pop((name, action.call_id), None)
+        if held is None:
+            return
+        upstream, running = held
+        if isinstance(answer, TimedOut) and running is not None:
+            upstream.cancel(running)
+        self.deliver(name, UpstreamAnswered(action.call_id, answer))
+
+    def _cancel_call(self, name: str, call_id: str) -> None:
+        upstream, running = self._calls.pop((name, call_id), (None, None))
+        if upstream is not None and running is not None:
+            upstream.cancel(running)
+
+    def _send_to_peer(self, name: str, action: SendToPeer) -> None:
+        delay_ms = self.link.draw_delay_ms(name, action.instance_id)
+        if delay_ms is None:
+            return
+        # Through the codec, so that a run sees just what two processes would.
+        message = decode_message(encode_message(action.message))
+        event = PeerMessageReceived(name, message)
+        self.queue.add(self.now_ms + delay_ms, lambda: self.deliver(action.instance_id, event))
+
+    def _read_platform(self, name: str, action: ReadPlatform) -> None:
+        host = self.instances[name]
+        host.watch_number += 1
+        host.is_watching = False
+        if action.stop:
+            return
+        number = host.watch_number
+        self.queue.add(self.now_ms, lambda: self._answer_read(name, host, number, action.watch))
+
+    def _answer_read(self, name: str, host: VirtualInstance, number: int, watch: bool) -> None:
+        if host.watch_number != number or not host.is_alive:
+            return
+        if not self._is_platform_reachable(name):
+            self.deliver(name, PlatformSilent("no answer"))
+            again_ms = self.now_ms + PLATFORM_RETRY_MS
+            self.queue.add(again_ms, lambda: self._answer_read(name, host, number, watch))
+            return
+        revision, documents = self.platform.read()
+        host.is_watching = watch
+        event = DocumentsReceived(revision, documents, is_snapshot=True)
+        delay_ms = self.link.draw_delay_ms(PLATFORM, name) or 0.0
+        self.queue.add(self.now_ms + delay_ms, lambda: self.deliver(name, event))
+
+    def _is_platform_reachable(self, name: str) -> bool:
+        cut = self.link.cut
+        return not (self.platform.is_down or (name, PLATFORM) in cut or (PLATFORM, name) in cut)
