--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/processes.py
@@ -0,0 +1,60 @@
+"""Start and end the processes of a measurement."""
+
+import subprocess
+import sys
+import time
+from pathlib import Path
+from urllib.error import URLError
+from urllib.request import urlopen
+
+READY_TIMEOUT_S = 20.0
+END_TIMEOUT_S = 10.0
+
+
+class ProcessGroup:
+    """Hold the processes that one measurement started, and end just those."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self._processes: list[subprocess.Popen] = []
+
+    def __enter__(self) -> "ProcessGroup":
+        return self
+
+    def __exit__(self, *details) -> None:
+        self.end_all()
+
+    def start_module(self, name: str, module: str, *arguments: str) -> subprocess.Popen:
+        """Start a Python module; its standard error goes to a file in the folder."""
+        command = [sys.executable, "-m", module, *arguments]
+        with (self.folder / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(command, stderr=log, stdout=log)
+        self._processes.append(process)
+        return process
+
+    def end_all(self) -> None:
+        """Ask every process to stop, and kill those that do not."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.terminate()
+        for process in self._processes:
+            try:
+                process.wait(END_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self._processes.clear()
+
+
+def wait_until_ready(url: str) -> float:
+    """Wait until a GET answers 200; return the seconds that it took."""
+    started = time.monotonic()
+    while time.monotonic() - started < READY_TIMEOUT_S:
+        try:
+            with urlopen(url, timeout=1.0) as response:
+                if response.status == 200:
+                    return time.monotonic() - started
+        except (URLError, OSError):
+            pass
+        time.sleep(0.05)
+    raise TimeoutError(f"{url} did not get ready in {READY_TIMEOUT_S} s")
