--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/fits.py
@@ -0,0 +1,44 @@
+"""Fit straight lines to measured points."""
+
+from dataclasses import dataclass
+
+import numpy
+
+
+@dataclass(slots=True, frozen=True)
+class Line:
+    """Hold a fitted line; ``error_share`` is the largest residual over the largest value."""
+
+    slope: float
+    intercept: float
+    error_share: float
+
+    @classmethod
+    def from_points(cls, sizes: list[float], values: list[float]) -> "Line":
+        """Fit by least squares; needs four points at least."""
+        if len(sizes) < 4:
+            raise ValueError("a slope takes four sizes at least")
+        slope, intercept = numpy.polyfit(sizes, values, 1)
+        fitted = [slope * size + intercept for size in sizes]
+        worst = max(abs(a - b) for a, b in zip(fitted, values, strict=True))
+        return cls(float(slope), float(intercept), float(worst / max(values)))
+
+    def to_json(self) -> dict:
+        """Return the line rounded for the record."""
+        return {
+            "slope": round(self.slope, 4),
+            "intercept": round(self.intercept, 3),
+            "error_share": round(self.error_share, 4),
+        }
+
+
+def build_slope(unit: str, per: str, points: list[tuple[float, float]]) -> dict:
+    """Return the record of one slope: its points, line and units."""
+    sizes = [size for size, _ in points]
+    values = [value for _, value in points]
+    return {
+        "unit": unit,
+        "per": per,
+        "points": [[size, round(value, 3)] for size, value in points],
+        **Line.from_points(sizes, values).to_json(),
+    }
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/message_cpu.py
@@ -0,0 +1,91 @@
+"""Measure the CPU of messages between instances: coding, and the transport by pyzmq."""
+
+import asyncio
+from time import process_time
+
+import zmq
+import zmq.asyncio
+
+from geraniumlead.peers import (
+    SubqueryBatch,
+    SubqueryResult,
+    SubqueryResultBatch,
+    decode_message,
+    encode_message,
+)
+from geraniumlead.upstreams import Records, Subquery
+
+BATCH_SIZES = (1, 10, 50, 100, 300, 500)
+ITEMS_A_POINT = 60_000
+MESSAGES = 8_000
+MESSAGE_BYTES = (100, 1_000, 10_000, 50_000)
+
+
+def build_subquery(number: int) -> Subquery:
+    """Return a subquery of ordinary size."""
+    return Subquery(
+        call_id=f"noord-12.a1b2c3d4e5f6.{number}",
+        request_id="7f3c9a0e5b1d4c28a6f0e9d8c7b6a594",
+        upstream_id=f"lookup-noord-{number}",
+        service="lookup",
+        index_version=12,
+        shard=number,
+        remaining_ms=55.0,
+        query=b'{"text":"member"}',
+        customer="van-dijk",
+        class_name="lookup",
+    )
+
+
+def measure_coding() -> tuple[list[tuple[float, float]], list[tuple[float, float]]]:
+    """Return microseconds to encode and decode a batch, of subqueries and of results."""
+    subqueries, results = [], []
+    for size in BATCH_SIZES:
+        items = tuple(build_subquery(number) for number in range(size))
+        subqueries.append((float(size), _time_coding(SubqueryBatch(items), size)))
+        records = Records(12, 7, b'[{"id":"a","hours":1.5}]')
+        answers = tuple(SubqueryResult(item.call_id, records) for item in items)
+        results.append((float(size), _time_coding(SubqueryResultBatch(answers), size)))
+    return subqueries, results
+
+
+def measure_bytes() -> list[tuple[float, float]]:
+    """Return the bytes of a batch of subqueries by its size."""
+    points = []
+    for size in BATCH_SIZES:
+        batch = SubqueryBatch(tuple(build_subquery(number) for number in range(size)))
+        points.append((float(size), float(len(encode_message(batch)))))
+    return points
+
+
+def measure_transport() -> list[tuple[float, float]]:
+    """Return microseconds to send and receive one message over loopback, by its bytes."""
+    return [(float(size), asyncio.run(_time_transport(size))) for size in MESSAGE_BYTES]
+
+
+def _time_coding(message, size: int) -> float:
+    rounds = max(50, ITEMS_A_POINT // size)
+    started = process_time()
+    for _ in range(rounds):
+        decode_message(encode_message(message))
+    return (process_time() - started) / rounds * 1e6
+
+
+async def _time_transport(size: int) -> float:
+    context = zmq.asyncio.Context()
+    router = context.socket(zmq.ROUTER)
+    port = router.bind_to_random_port("tcp://127.0.0.1")
+    dealer = context.socket(zmq.DEALER, socket_class=zmq.Socket)
+    dealer.connect(f"tcp://127.0.0.1:{port}")
+    data = b"x" * size
+    dealer.send(data)
+    await router.recv_multipart()
+    started = process_time()
+    for _ in range(MESSAGES // 50):
+        for _ in range(50):
+            dealer.send(data)
+        for _ in range(50):
+            await router.recv_multipart()
+    spent_s = process_time() - started
+    context.destroy(linger=0)
+    return spent_s / (MESSAGES // 50 * 50) * 1e6
