Run a whole deployment with make demo

Cause: nothing showed the whole path as separate processes with disturbances. The deployments of both users are built from their sizes; the demo starts a platform, one upstream process per data centre, the entry instances and callers, makes a straggler, takes a data centre out and back, and judges bookings, answers and the moved data centre from the histories.

--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/load/answer_check.py
@@ -0,0 +1,31 @@
+"""Check an answer against what only its caller knows."""
+
+from geraniumlead_standins.load.sent_request import SentRequest
+
+
+def take_answer(sent: SentRequest, body: dict) -> None:
+    """Note an answer's outcome, and what contradicts itself in it."""
+    outcome = body.get("outcome", "malformed")
+    sent.outcomes.append(outcome)
+    if outcome not in ("whole", "partial"):
+        sent.reason = body.get("reason") or body.get("detail", "")
+        return
+    coverage = body["coverage"]
+    sent.asked_shards = coverage["asked"]
+    sent.answered_shards = coverage["answered"]
+    sent.index_version = body["index_version"]
+    missing = {item["shard"] for item in coverage["missing"]}
+    if sent.answered_shards + len(missing) != sent.asked_shards:
+        sent.faults.append("coverage does not add up")
+    if (outcome == "whole") != (sent.answered_shards == sent.asked_shards):
+        sent.faults.append("coverage contradicts the outcome")
+    _check_records(sent, body["records"])
+
+
+def _check_records(sent: SentRequest, records: list[dict]) -> None:
+    # A stand-in's record is named after the index version and shard that it comes from.
+    names = [record["id"] for record in records]
+    if len(names) != sent.answered_shards or len(set(names)) != len(names):
+        sent.faults.append("records do not match the answered shards")
+    if any(not name.startswith(f"v{sent.index_version}-") for name in names):
+        sent.faults.append("records of another index version")
--- /dev/null
+++ b/packages/geraniumlead-standins/tests/standins_tests/deployments/test_documents.py
@@ -0,0 +1,35 @@
+"""Test that the examples are at the users' sizes and hold together."""
+
+from unittest import TestCase
+
+from msgspec.json import encode
+
+from geraniumlead.configuration import DocumentStore
+from geraniumlead.documents import VersionedValue
+from geraniumlead_standins.deployments import DEPLOYMENTS, AddressPlan, build_documents
+
+UPSTREAMS_PER_DATA_CENTRE = {"van-dijk": 115, "pinewick": 108}
+
+
+class BuildDocumentsTests(TestCase):
+    def test_every_document_is_accepted(self):
+        for name, build in DEPLOYMENTS.items():
+            with self.subTest(deployment=name):
+                deployment = build()
+                addresses = AddressPlan.from_base_port(deployment, 20_000)
+                documents = [
+                    VersionedValue(key, 1, encode(document))
+                    for key, document in build_documents(deployment, addresses).items()
+                ]
+                store = DocumentStore()
+                store.apply(documents, 1, is_snapshot=True)
+                self.assertEqual(store.refused, ())
+                self.assertEqual(len(store.view.data_centres), 3)
+                self.assertEqual(len(store.view.upstreams), 3 * UPSTREAMS_PER_DATA_CENTRE[name])
+
+    def test_no_address_is_given_twice(self):
+        addresses = AddressPlan.from_base_port(DEPLOYMENTS["van-dijk"](), 20_000)
+        given = [addresses.platform, *addresses.upstreams.values(), *addresses.controls.values()]
+        given += [address for three in addresses.instances.values() for address in three]
+        self.assertEqual(len(set(given)), addresses.port_count)
+        self.assertEqual(len(given), addresses.port_count)
