--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/history/checks/configuration.py
@@ -0,0 +1,60 @@
+"""Check that an accepted configuration is in force everywhere in seconds, and stays."""
+
+from collections import defaultdict
+
+from geraniumlead_standins.history.check_result import CheckResult
+from geraniumlead_standins.history.event import HistoryEvent
+from geraniumlead_standins.history.history import History
+
+IN_FORCE_ALLOWANCE_NS = 6_000_000_000
+"""The time that a publication may take to be in force on an instance that can hear of it."""
+
+
+def check_configuration(history: History) -> CheckResult:
+    """Look for documents that came late, or that an instance took back.
+
+    ``in_force`` events give, for one incarnation, the revision of each document that it
+    acts on. Late: ``IN_FORCE_ALLOWANCE_NS`` in one piece joined to the platform (see
+    Reachability) went by without it; an incarnation that never reported anything is
+    starting and is not held to it. Taken back: the same incarnation acts on a lower
+    revision of a document than before. Clock: the one that all lines share.
+    """
+    result = CheckResult("configuration")
+    reports: dict[tuple[str, str], list[HistoryEvent]] = defaultdict(list)
+    for event in history.of("in_force"):
+        reports[event.who, event.incarnation].append(event)
+    ends = _find_ends(history)
+    for (instance, incarnation), lines in reports.items():
+        _find_reverts(result, instance, lines)
+        end_ns = ends.get((instance, incarnation), history.end_ns)
+        for published in history.of("published"):
+            first_ns = max(published.at_ns, lines[0].at_ns)
+            due_ns = history.reachability.told_by_ns(instance, first_ns, IN_FORCE_ALLOWANCE_NS)
+            if due_ns is None or due_ns > end_ns:
+                continue
+            result.operations += 1
+            if not any(
+                line.revisions.get(published.key, 0) >= published.revision
+                for line in lines
+                if line.at_ns <= due_ns
+            ):
+                result.add(
+                    due_ns, f"{instance}: {published.key} at {published.revision} not in force"
+                )
+    return result
+
+
+def _find_reverts(result: CheckResult, instance: str, lines: list[HistoryEvent]) -> None:
+    highest: dict[str, int] = {}
+    for line in lines:
+        for key, revision in line.revisions.items():
+            if revision < highest.get(key, 0):
+                result.add(line.at_ns, f"{instance}: {key} went from {highest[key]} to {revision}")
+            highest[key] = max(revision, highest.get(key, 0))
+
+
+def _find_ends(history: History) -> dict[tuple[str, str], int]:
+    return {
+        (event.instance, event.incarnation): event.at_ns
+        for event in history.of("process_killed", "process_stopped")
+    }
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/history/checks/graceful_stop.py
@@ -0,0 +1,45 @@
+"""Check that every planned stop cuts off no request."""
+
+from geraniumlead_standins.history.check_result import CheckResult
+from geraniumlead_standins.history.event import HistoryEvent
+from geraniumlead_standins.history.history import History
+
+BALANCER_NOTICE_NS = 1_400_000_000
+"""A balancer that polls readiness once a second may send this long after a stop was asked."""
+
+
+def check_graceful_stop(history: History) -> CheckResult:
+    """Look for requests that a stopping instance did not answer.
+
+    Counted are the requests sent to it until ``BALANCER_NOTICE_NS`` after the stop was
+    asked: each needs an outcome before the process ends. A process that was killed or
+    frozen during its stop did not stop as planned. Clock: the one that all lines share.
+    """
+    result = CheckResult("graceful stop")
+    dropped = {event.request_id for event in history.of("dropped")}
+    for asked in history.of("stop_asked"):
+        stopped = _find_end(history, asked)
+        if stopped is None or stopped.event != "process_stopped":
+            continue
+        result.operations += 1
+        if stopped.cut_off:
+            result.add(stopped.at_ns, f"{asked.instance}: ended with {stopped.cut_off} open")
+        for sent in history.of("sent"):
+            is_counted = (
+                sent.instance == asked.instance
+                and sent.request_id not in dropped
+                and sent.at_ns <= asked.at_ns + BALANCER_NOTICE_NS
+            )
+            answers = history.answers_by_request.get(sent.request_id, [])
+            if is_counted and any(
+                answer.outcome == "lost" and asked.at_ns <= answer.at_ns for answer in answers
+            ):
+                result.add(stopped.at_ns, f"{sent.request_id}: cut off by {asked.instance}")
+    return result
+
+
+def _find_end(history: History, asked: HistoryEvent) -> HistoryEvent | None:
+    for event in history.of("process_stopped", "process_killed", "frozen"):
+        if event.instance == asked.instance and event.at_ns >= asked.at_ns:
+            return event
+    return None
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/history/checks/one_snapshot.py
@@ -0,0 +1,24 @@
+"""Check that every answer comes from one snapshot of the index."""
+
+from geraniumlead_standins.history.check_result import CheckResult
+from geraniumlead_standins.history.history import History
+
+
+def check_one_snapshot(history: History) -> CheckResult:
+    """Look for an answer with a record of another index version than the one it names.
+
+    Clock: none, only what the answer itself holds. Allowance: none.
+    """
+    result = CheckResult("one snapshot")
+    for answer in history.of("answered"):
+        if answer.outcome not in ("whole", "partial"):
+            continue
+        result.operations += 1
+        versions = {record.index_version for record in answer.records}
+        if versions - {answer.index_version}:
+            found = sorted(versions)
+            result.add(
+                answer.at_ns,
+                f"{answer.request_id}: names version {answer.index_version}, holds {found}",
+            )
+    return result
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/history/checks/true_coverage.py
@@ -0,0 +1,88 @@
+"""Check that the coverage reported with an answer is true."""
+
+from collections import Counter, defaultdict
+
+from geraniumlead_standins.history.check_result import CheckResult
+from geraniumlead_standins.history.event import HistoryEvent
+from geraniumlead_standins.history.history import History
+
+REPLY_ALLOWANCE_NS = 60_000_000
+"""A reply that came to an instance this long before the answer has to be in it: two batching
+ticks and the longest one-way delay between regions, doubled."""
+
+
+def check_true_coverage(history: History) -> CheckResult:
+    """Hold the coverage of every answer against what was published and what upstreams ran.
+
+    - All shards of the named version were asked, so a repartition hides none.
+    - The shards with records and the missing ones are just these shards.
+    - Each counted shard was really run for this operation, at this version, before the
+      answer, and all its records are there.
+    - No shard is missing whose reply had come ``REPLY_ALLOWANCE_NS`` before the answer. This
+      last part needs ``reply_arrived`` events, which only virtual runs have.
+
+    Clock: the order of the events of one run.
+    """
+    result = CheckResult("true coverage")
+    replies = _find_replies(history)
+    for answer in history.of("answered"):
+        sent = history.sent_by_request.get(answer.request_id)
+        if answer.outcome not in ("whole", "partial") or sent is None:
+            continue
+        result.operations += 1
+        for detail in (
+            *_compare_with_index(history, sent, answer),
+            *_compare_with_runs(history, sent, answer),
+            *_find_undercount(replies, answer),
+        ):
+            result.add(answer.at_ns, f"{answer.request_id}: {detail}")
+    return result
+
+
+def _compare_with_index(history: History, sent: HistoryEvent, answer: HistoryEvent) -> list[str]:
+    published = history.shard_counts.get((sent.service, answer.index_version))
+    if published is None:
+        return [f"version {answer.index_version} was never published"]
+    due = 1 if sent.one_shard else published
+    found = {record.shard for record in answer.records}
+    problems = []
+    if answer.asked != due:
+        problems.append(f"asked {answer.asked} of {due} shards")
+    if answer.answered != len(found):
+        problems.append(f"counts {answer.answered} shards, holds {len(found)}")
+    if found & set(answer.missing):
+        problems.append("a shard is both missing and answered")
+    if len(found) + len(set(answer.missing)) != due:
+        problems.append(f"{len(found)} answered and {len(answer.missing)} missing of {due}")
+    if (answer.outcome == "whole") != (len(found) == due):
+        problems.append(f"called {answer.outcome} with {len(found)} of {due}")
+    return problems
+
+
+def _compare_with_runs(history: History, sent: HistoryEvent, answer: HistoryEvent) -> list[str]:
+    counts = Counter(record.shard for record in answer.records)
+    due = defaultdict(set)
+    for run in history.runs_by_token.get(sent.token, ()):
+        if run.index_version == answer.index_version and run.at_ns <= answer.at_ns:
+            due[run.shard].add(run.record_count)
+    return [
+        f"shard {shard} has {count} records, its upstreams gave {sorted(due[shard])}"
+        for shard, count in counts.items()
+        if count not in due[shard]
+    ]
+
+
+def _find_replies(history: History) -> dict[tuple[str, int, int], int]:
+    first: dict[tuple[str, int, int], int] = {}
+    for reply in history.of("reply_arrived"):
+        first.setdefault((reply.request_id, reply.index_version, reply.shard), reply.at_ns)
+    return first
+
+
+def _find_undercount(replies: dict[tuple[str, int, int], int], answer: HistoryEvent) -> list[str]:
+    problems = []
+    for shard in answer.missing:
+        came_ns = replies.get((answer.request_id, answer.index_version, shard))
+        if came_ns is not None and came_ns + REPLY_ALLOWANCE_NS < answer.at_ns:
+            problems.append(f"shard {shard} had replied and is called missing")
+    return problems
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/history/recorder.py
@@ -0,0 +1,22 @@
+"""Keep the lines of a virtual run in memory."""
+
+from collections.abc import Callable
+
+from geraniumlead_standins.history.event import HistoryEvent
+
+NS_PER_MS = 1_000_000
+
+
+class MemoryRecorder:
+    """Note events at virtual times, in the format that processes write to files."""
+
+    __slots__ = ("_now_ms", "events")
+
+    def __init__(self, now_ms: Callable[[], float]) -> None:
+        self._now_ms = now_ms
+        self.events: list[HistoryEvent] = []
+
+    def note(self, who: str, event: str, **fields) -> None:
+        """Append one event."""
+        at_ns = int(self._now_ms() * NS_PER_MS)
+        self.events.append(HistoryEvent(at_ns=at_ns, who=who, event=event, **fields))
