--- a/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/batch_spread.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/batch_spread.py
@@ -26,9 +26,7 @@
         for coordinator in names[:COORDINATORS]:
             random = Random(coordinator)
             sums["random"] += len({random.choice(found) for found in owners.values()})
-            ranks = {
-                name: rank for rank, name in enumerate(rank_by_rendezvous(coordinator, names))
-            }
+            ranks = {name: rank for rank, name in enumerate(rank_by_rendezvous(coordinator, names))}
             picked = [min(found, key=ranks.__getitem__) for found in owners.values()]
             sums["affinity"] += len(set(picked))
             for name in picked:
