--- a/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/wire.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/wire.py
@@ -67,7 +67,7 @@
     )
 
 
-def read_answer(status: int, body: bytes, subquery: Subquery) -> UpstreamAnswer:
+def read_answer(status: int, body: bytes) -> UpstreamAnswer:
     """Return what an upstream's HTTP answer means."""
     try:
         if status == STATUS_OK:
