Check documents: every error with an id, a path and a hint

Cause: a bad contract was refused with the decoder's first error only, and contradictions were accepted. Ruled out: refusing contradictory but harmless limits; they are warnings and stay in force. Tried and reverted: checks in one package with the file checks; it made an import cycle with decoding and loaded jsonschema in the daemon.

--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/checks/contract_checks.py
@@ -0,0 +1,109 @@
+"""Check a contract on its own."""
+
+from collections.abc import Iterator
+from datetime import datetime
+
+from geraniumlead.checks.message import CheckMessage, Level
+from geraniumlead.checks.registry import document_checks
+from geraniumlead.checks.repeated import find_repeated
+from geraniumlead.documents.contract import ContractDocument
+
+MILLISECONDS_PER_S = 1000.0
+
+
+@document_checks.register(ContractDocument)
+def check_class_names(contract: ContractDocument) -> Iterator[CheckMessage]:
+    """Find classes of one name, of which only the first would be found."""
+    for position, name in find_repeated(item.name for item in contract.classes):
+        yield CheckMessage(
+            id="GL-C001",
+            path=f"$.classes[{position}].name",
+            text=f"the class {name!r} stands twice",
+            hint="give each class a name of its own",
+        )
+
+
+@document_checks.register(ContractDocument)
+def check_credentials(contract: ContractDocument) -> Iterator[CheckMessage]:
+    """Find credentials that are listed twice."""
+    for position, _ in find_repeated(contract.credentials_sha256):
+        yield CheckMessage(
+            id="GL-C002",
+            path=f"$.credentials_sha256[{position}]",
+            text="the credential stands twice",
+            hint="list each digest once",
+        )
+
+
+@document_checks.register(ContractDocument)
+def check_dates(contract: ContractDocument) -> Iterator[CheckMessage]:
+    """Find dates that are no instants, and an end that comes before the start."""
+    instants = {}
+    for name in ("valid_from", "valid_until"):
+        text = getattr(contract, name)
+        if text is None:
+            continue
+        instants[name] = parse_instant(text)
+        if instants[name] is None:
+            yield CheckMessage(
+                id="GL-C003",
+                path=f"$.{name}",
+                text=f"{text!r} is no RFC 3339 instant",
+                hint="write date, time and offset, such as 2027-01-31T00:00:00Z",
+            )
+    start, end = instants.get("valid_from"), instants.get("valid_until")
+    if start is not None and end is not None and end <= start:
+        yield CheckMessage(
+            id="GL-C004",
+            path="$.valid_until",
+            text="the contract ends before it starts",
+            hint="swap the dates",
+        )
+
+
+@document_checks.register(ContractDocument)
+def check_coverage(contract: ContractDocument) -> Iterator[CheckMessage]:
+    """Find classes whose coverage contradicts what they do."""
+    for position, item in enumerate(contract.classes):
+        if not item.idempotent and item.least_coverage < 1:
+            yield CheckMessage(
+                id="GL-C005",
+                path=f"$.classes[{position}].least_coverage",
+                text="a non-idempotent class cannot accept a partial answer",
+                hint="leave least_coverage out",
+            )
+        if not item.waits_for_all and item.least_coverage == 1:
+            yield CheckMessage(
+                id="GL-C006",
+                path=f"$.classes[{position}].waits_for_all",
+                text="the class may end early, but accepts only whole answers",
+                hint="lower least_coverage or set waits_for_all",
+                level=Level.WARNING,
+            )
+
+
+@document_checks.register(ContractDocument)
+def check_limits(contract: ContractDocument) -> Iterator[CheckMessage]:
+    """Find a bound on concurrency that the rate never lets the customer reach."""
+    longest_s = max(item.deadline_ms for item in contract.classes) / MILLISECONDS_PER_S
+    reachable = contract.burst_requests + contract.rate_per_s * longest_s
+    if contract.concurrent_requests > reachable:
+        yield CheckMessage(
+            id="GL-C007",
+            path="$.concurrent_requests",
+            text=(
+                f"rate, burst and the longest deadline never let more than {reachable:.0f} "
+                "requests be open"
+            ),
+            hint="lower concurrent_requests, or raise rate_per_s or burst_requests",
+            level=Level.WARNING,
+        )
+
+
+def parse_instant(text: str) -> datetime | None:
+    """Return an RFC 3339 instant, or None for any other text."""
+    try:
+        instant = datetime.fromisoformat(text)
+    except ValueError:
+        return None
+    return instant if instant.tzinfo is not None else None
