--- a/packages/geraniumlead/src/geraniumlead/instance/parts.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/parts.py
@@ -53,7 +53,7 @@
         self.store = DocumentStore()
         self.membership = Membership(instance_id, data_centre, settings.timing.peer_timeout_ms)
         self.lifecycle = Lifecycle(settings.timing)
-        self.admission = AdmissionController(settings.limits)
+        self.admission = AdmissionController(settings.limits, instance_id, random)
         confirmation = ViewConfirmation(self.membership, self.store)
         self.cold_start = ColdStartGuard(instance_id, settings.timing, confirmation)
         self.dispatcher = Dispatcher(instance_id, self.cold_start)
