Hold new work after a pause until the view is confirmed

Cause: a process that was frozen acted at once on the view from before the pause; it sent calls to a data centre that had been taken out ten seconds earlier. Ruled out: trusting any message after the wake (sockets buffer old ones), trusting one read of the platform alone (it may be stale). Now: a gap above pause_gap_ms makes the view unconfirmed. Probes with a nonce and a numbered read of the platform confirm it; requests, retries and queued calls wait, peers' subqueries are shed. Alone for 2 s, the instance serves on and shows it in its status. The same confirmation runs at the start, before an instance turns ready. Tests with the safeguard off fail: see test_pause.

--- a/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/virtual_run.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/virtual_run.py
@@ -205,19 +205,21 @@
         if action.stop:
             return
         number = host.watch_number
-        self.queue.add(self.now_ms, lambda: self._answer_read(name, host, number, action.watch))
+        self.queue.add(self.now_ms, lambda: self._answer_read(name, host, number, action))
 
-    def _answer_read(self, name: str, host: VirtualInstance, number: int, watch: bool) -> None:
+    def _answer_read(
+        self, name: str, host: VirtualInstance, number: int, action: ReadPlatform
+    ) -> None:
         if host.watch_number != number or not host.is_alive:
             return
         if not self._is_platform_reachable(name):
             self.deliver(name, PlatformSilent("no answer"))
             again_ms = self.now_ms + PLATFORM_RETRY_MS
-            self.queue.add(again_ms, lambda: self._answer_read(name, host, number, watch))
+            self.queue.add(again_ms, lambda: self._answer_read(name, host, number, action))
             return
         revision, documents = self.platform.read()
-        host.is_watching = watch
-        event = DocumentsReceived(revision, documents, is_snapshot=True)
+        host.is_watching = action.watch
+        event = DocumentsReceived(revision, documents, True, action.read_number)
         delay_ms = self.link.draw_delay_ms(PLATFORM, name) or 0.0
         self.queue.add(self.now_ms + delay_ms, lambda: self.deliver(name, event))
 
--- /dev/null
+++ b/packages/geraniumlead-standins/tests/standins_tests/membership/test_pause.py
@@ -0,0 +1,120 @@
+"""Test processes that are frozen and wake up with an old view."""
+
+from unittest import TestCase
+
+from geraniumlead.requests import Answered, NotRun, RefusalReason
+from geraniumlead.settings import TimingSettings
+from geraniumlead_standins.virtual.small_cluster import ClusterSize
+from standins_tests.membership.builders import SETTLED_MS, RecordedCluster
+
+TWO_CENTRES = ClusterSize(data_centres=("noord", "zuid"), instances=3)
+SAFEGUARD_OFF = TimingSettings(pause_gap_ms=3_600_000.0)
+NOORD_UPSTREAMS = "10.0.0."
+FROZEN_MS = 10_000.0
+
+
+def freeze_while_noord_is_taken_out(timing: TimingSettings | None) -> RecordedCluster:
+    recorded = RecordedCluster.from_size(TWO_CENTRES, timing=timing)
+    recorded.run_for(SETTLED_MS)
+    recorded.run.freeze("noord-0")
+    recorded.ask("noord-0", "r1", allowed_ms=60_000.0)
+    recorded.run_for(1_000.0)
+    recorded.set_data_centre("noord", "out")
+    recorded.run_for(FROZEN_MS)
+    recorded.calls.clear()
+    recorded.run.thaw("noord-0")
+    recorded.run_for(2_000.0)
+    return recorded
+
+
+def calls_to_noord(recorded: RecordedCluster) -> int:
+    return sum(address.startswith(NOORD_UPSTREAMS) for _, _, address in recorded.calls)
+
+
+class PauseTests(TestCase):
+    def test_wakes_without_sending_to_a_data_centre_that_was_taken_out(self):
+        """The caller's request waits in the socket of an instance that is frozen.
+
+        Operators take the instance's data centre out meanwhile. At its wake the instance
+        reads the request before the news. Without the hold it calls upstreams of the data
+        centre ten seconds after they were taken out.
+        """
+        plain = freeze_while_noord_is_taken_out(SAFEGUARD_OFF)
+        self.assertGreater(calls_to_noord(plain), 0)
+        guarded = freeze_while_noord_is_taken_out(None)
+        self.assertEqual(0, calls_to_noord(guarded))
+        self.assertIsInstance(guarded.outcomes["r1"], Answered)
+
+    def test_a_request_that_cannot_wait_is_refused_as_not_run(self):
+        """A caller gives 10 ms to an instance that just woke and asks its peers first."""
+        recorded = RecordedCluster.from_size(TWO_CENTRES)
+        recorded.run_for(SETTLED_MS)
+        recorded.run.freeze("noord-0")
+        recorded.run_for(FROZEN_MS)
+        recorded.run.instances["noord-0"].is_frozen = False
+        recorded.calls.clear()
+        recorded.ask("noord-0", "r1", allowed_ms=10.0)
+        self.assertEqual(RefusalReason.STALE_VIEW, recorded.outcomes["r1"].reason)
+        self.assertEqual([], recorded.calls)
+
+    def test_buffered_messages_confirm_nothing(self):
+        """What waited in the sockets is as old as the pause, so it must not end the hold.
+
+        The instance is cut off just before it wakes: heartbeats and documents of before the
+        cut are read, but no probe is answered. The request is refused when its time is over.
+        """
+        recorded = RecordedCluster.from_size(TWO_CENTRES)
+        recorded.run_for(SETTLED_MS)
+        recorded.run.freeze("noord-0")
+        recorded.run_for(FROZEN_MS)
+        others = {name for name in recorded.run.instances if name != "noord-0"} | {"platform"}
+        recorded.run.link.cut_between({"noord-0"}, others)
+        recorded.calls.clear()
+        recorded.run.thaw("noord-0")
+        recorded.ask("noord-0", "r1", allowed_ms=1_000.0)
+        recorded.run_for(1_500.0)
+        self.assertEqual([], recorded.calls)
+        self.assertEqual(NotRun(RefusalReason.STALE_VIEW, 250.0), recorded.outcomes["r1"])
+
+    def test_serves_on_when_nobody_answers_for_the_bound(self):
+        """Cut off alone, to refuse for good would lose what the cut left over."""
+        recorded = RecordedCluster.from_size(TWO_CENTRES)
+        recorded.run_for(SETTLED_MS)
+        recorded.run.freeze("noord-0")
+        recorded.run_for(FROZEN_MS)
+        others = {name for name in recorded.run.instances if name != "noord-0"} | {"platform"}
+        recorded.run.link.cut_between({"noord-0"}, others)
+        recorded.run.thaw("noord-0")
+        recorded.run_for(2_500.0)
+        status = recorded.instance("noord-0").status(recorded.run.now_ms)
+        self.assertGreater(status.view_unconfirmed_ms, 2_000.0)
+        recorded.ask("noord-0", "r1")
+        recorded.run_for(500.0)
+        self.assertIsInstance(recorded.outcomes["r1"], Answered)
+        recorded.run.link.heal()
+        recorded.run_for(5_000.0)
+        status = recorded.instance("noord-0").status(recorded.run.now_ms)
+        self.assertIsNone(status.view_unconfirmed_ms)
+
+    def test_queued_calls_and_retries_are_held(self):
+        """A query is open on slow upstreams when the instance freezes, with calls queued.
+
+        The answers that wake it make room in the queues; the queued calls must not start
+        on upstreams of a data centre that was taken out meanwhile.
+        """
+        size = ClusterSize(
+            data_centres=("noord", "zuid"), instances=1, shards=2, replicas=1, slots=1
+        )
+        recorded = RecordedCluster.from_size(size)
+        recorded.run_for(SETTLED_MS)
+        for number in range(8):
+            recorded.ask("noord-0", f"r{number}", allowed_ms=60_000.0)
+        recorded.run_for(1.0)
+        recorded.run.freeze("noord-0")
+        recorded.set_data_centre("noord", "out")
+        recorded.run_for(FROZEN_MS)
+        recorded.calls.clear()
+        recorded.run.thaw("noord-0")
+        recorded.run_for(3_000.0)
+        self.assertEqual(0, calls_to_noord(recorded))
+        self.assertEqual(8, len(recorded.outcomes))
--- a/packages/geraniumlead/src/geraniumlead/events/documents_received.py
+++ b/packages/geraniumlead/src/geraniumlead/events/documents_received.py
@@ -10,9 +10,12 @@
     """The platform answered a read or watch.
 
     ``is_snapshot`` is set when ``documents`` holds every key, so that a missing key was
-    deleted at or before ``revision``.
+    deleted at or before ``revision``. Without it they are all changes since the read or
+    watch answer before. ``read_number`` is that of the ReadPlatform which it answers, 0 for
+    a watch's news.
     """
 
     revision: int
     documents: tuple[VersionedValue, ...]
     is_snapshot: bool
+    read_number: int = 0
--- a/packages/geraniumlead/src/geraniumlead/instance/batcher.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/batcher.py
@@ -44,6 +44,12 @@
         self._cancels.setdefault(peer_id, []).append(call_id)
         self._arm(len(self._cancels[peer_id]), now_ms)
 
+    def take_subqueries(self) -> list[tuple[str, Subquery]]:
+        """Take back the subqueries that were not sent yet, by peer."""
+        unsent = [(peer, item) for peer, items in self._subqueries.items() for item in items]
+        self._subqueries.clear()
+        return unsent
+
     def take_due(self, now_ms: float) -> list[tuple[str, PeerMessage]]:
         """Return the messages whose tick has come, by peer."""
         if self._due_ms is None or now_ms < self._due_ms:
--- a/packages/geraniumlead/src/geraniumlead/instance/call_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/call_handler.py
@@ -4,18 +4,24 @@
 from geraniumlead.coordination import AskUpstream, CoordinationStep, DropCall, EndQuery
 from geraniumlead.dispatch import DispatchStep, EndCall, StartCall, StopCall
 from geraniumlead.events import UpstreamAnswered
+from geraniumlead.instance.held_steps import HeldSteps
 from geraniumlead.instance.parts import InstanceParts
 from geraniumlead.peers import SubqueryBatch, SubqueryResult, SubqueryResultBatch, TicketedAnswer
 from geraniumlead.requests import CallerRequest, Outcome
+from geraniumlead.routing import Route
+from geraniumlead.upstreams import Draining, Shed
+
+STALE_OWNER_RETRY_AFTER_MS = 50.0
 
 
 class CallHandler:
     """Move subqueries between coordinator, dispatcher, upstreams and peers."""
 
-    __slots__ = ("_parts",)
+    __slots__ = ("_held", "_parts")
 
     def __init__(self, parts: InstanceParts) -> None:
         self._parts = parts
+        self._held = HeldSteps()
 
     def take_answer(self, event: UpstreamAnswered, now_ms: float) -> None:
         """Take in the end of a call to an upstream."""
@@ -24,6 +30,9 @@
 
     def take_subqueries(self, sender_id: str, batch: SubqueryBatch, now_ms: float) -> None:
         """Run a peer's subqueries on upstreams of this instance."""
+        if not self._parts.freshness.may_send:
+            self._shed_subqueries(sender_id, batch, now_ms)
+            return
         for subquery in batch.subqueries:
             steps = self._parts.dispatcher.submit(subquery, sender_id, now_ms)
             self.run_dispatch(steps, now_ms)
@@ -39,16 +48,43 @@
         for call_id in call_ids:
             self.run_dispatch(self._parts.dispatcher.cancel(call_id, "", now_ms), now_ms)
 
+    def hold_unsent(self, now_ms: float) -> None:
+        """Hold the subqueries that a pause caught before their batch was sent."""
+        for owner_id, subquery in self._parts.batcher.take_subqueries():
+            route = Route(subquery.upstream_id, owner_id)
+            self._held.hold_ask(AskUpstream(subquery, route), now_ms)
+
+    def release(self, now_ms: float) -> None:
+        """Send what was held, where the view allows it now."""
+        parts = self._parts
+        view = parts.store.view
+        for step, remaining_ms in self._held.take_starts(now_ms):
+            if remaining_ms > 0 and view.is_usable(step.subquery.upstream_id):
+                self._start_call(step, remaining_ms)
+                continue
+            ended = parts.dispatcher.finish(step.subquery.call_id, Draining(), now_ms)
+            self.run_dispatch(ended, now_ms)
+        for step in self._held.take_asks(now_ms):
+            if view.is_usable(step.subquery.upstream_id):
+                self.run_coordination([step], now_ms)
+                continue
+            ended = parts.coordinator.finish_call(step.subquery.call_id, Draining(), now_ms)
+            self.run_coordination(ended, now_ms)
+
     def run_coordination(self, steps: list[CoordinationStep], now_ms: float) -> None:
         """Carry out what the coordinator asks for."""
         parts = self._parts
         for step in steps:
             match step:
+                case AskUpstream() if not parts.freshness.may_send:
+                    self._held.hold_ask(step, now_ms)
                 case AskUpstream(subquery=subquery, route=route):
                     if route.owner_id is None:
                         self.run_dispatch(parts.dispatcher.submit(subquery, None, now_ms), now_ms)
                     else:
                         parts.batcher.add_subquery(route.owner_id, subquery, now_ms)
+                case DropCall(call_id=call_id) if self._held.drop_ask(call_id):
+                    pass
                 case DropCall(call_id=call_id, route=route):
                     if route.owner_id is None:
                         stopped = parts.dispatcher.cancel(call_id, route.upstream_id, now_ms)
@@ -63,16 +99,12 @@
         parts = self._parts
         for step in steps:
             match step:
-                case StartCall(subquery=subquery, entry=entry):
-                    parts.actions.append(
-                        CallUpstream(
-                            subquery.call_id,
-                            entry.address,
-                            subquery,
-                            step.timeout_ms,
-                            step.connections,
-                        )
-                    )
+                case StartCall() if not parts.freshness.may_send:
+                    self._held.hold_start(step, now_ms)
+                case StartCall():
+                    self._start_call(step, step.timeout_ms)
+                case StopCall(call_id=call_id) if self._held.drop_start(call_id):
+                    pass
                 case StopCall(call_id=call_id):
                     parts.actions.append(CancelCall(call_id))
                 case EndCall(origin=None, call_id=call_id, answer=answer):
@@ -108,6 +140,21 @@
             )
         )
 
+    def _start_call(self, step: StartCall, timeout_ms: float) -> None:
+        subquery = step.subquery
+        self._parts.actions.append(
+            CallUpstream(
+                subquery.call_id, step.entry.address, subquery, timeout_ms, step.connections
+            )
+        )
+
+    def _shed_subqueries(self, sender_id: str, batch: SubqueryBatch, now_ms: float) -> None:
+        # They may have waited in a socket for as long as this process was frozen, and their
+        # coordinators have other owners: shed at once, they surely did not run.
+        for subquery in batch.subqueries:
+            result = SubqueryResult(subquery.call_id, Shed(STALE_OWNER_RETRY_AFTER_MS))
+            self._parts.batcher.add_result(sender_id, result, now_ms)
+
     def _answer_peer(self, sender_id: str, message: TicketedAnswer) -> None:
         # A peer that is no longer listed gets nothing; its caller learns "unknown" in time.
         self._parts.send(sender_id, message)
--- a/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
@@ -23,7 +23,12 @@
     def start(self) -> None:
         """Read the platform until the list of instances says who watches it."""
         self.watching = True
-        self._parts.actions.append(ReadPlatform(watch=True))
+        self.read_anew()
+
+    def read_anew(self) -> None:
+        """Read the platform; the answer carries the number of the view's confirmation."""
+        number = self._parts.freshness.read_number
+        self._parts.actions.append(ReadPlatform(watch=self.watching, read_number=number))
 
     def take_documents(self, event: DocumentsReceived, now_ms: float) -> None:
         """Take in news from the platform and pass them on to local peers."""
@@ -85,7 +90,6 @@
         parts.router.update(view, owners)
         parts.coordinator.update(view)
         self._calls.run_dispatch(parts.dispatcher.update(view, owners, now_ms), now_ms)
-        parts.lifecycle.note_configured()
         wanted = parts.membership.is_watcher()
         if wanted != self.watching:
             self.watching = wanted
--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -17,6 +17,7 @@
 )
 from geraniumlead.instance.call_handler import CallHandler
 from geraniumlead.instance.configuration_handler import ConfigurationHandler
+from geraniumlead.instance.freshness_handler import FreshnessHandler
 from geraniumlead.instance.heartbeat_handler import HeartbeatHandler
 from geraniumlead.instance.parts import InstanceParts
 from geraniumlead.instance.request_handler import RequestHandler
@@ -28,6 +29,8 @@
     Goodbye,
     Heartbeat,
     PeerMessage,
+    Probe,
+    ProbeReply,
     SubqueryBatch,
     SubqueryResultBatch,
     TicketedAnswer,
@@ -44,14 +47,17 @@
     TimerFired. Nothing here does I/O, reads a clock or uses global randomness.
     """
 
-    __slots__ = ("_calls", "_configuration", "_heartbeats", "_requests", "parts")
+    __slots__ = ("_calls", "_configuration", "_freshness", "_heartbeats", "_requests", "parts")
 
     def __init__(self, settings: InstanceSettings, random: Random, now_ms: float) -> None:
-        self.parts = InstanceParts(settings, random)
+        self.parts = InstanceParts(settings, random, now_ms)
         self._calls = CallHandler(self.parts)
         self._requests = RequestHandler(self.parts, self._calls)
         self._configuration = ConfigurationHandler(self.parts, self._calls)
         self._heartbeats = HeartbeatHandler(self.parts, now_ms)
+        self._freshness = FreshnessHandler(
+            self.parts, self._calls, self._requests, self._configuration
+        )
 
     def start(self, now_ms: float) -> list[Action]:
         """Return the first actions of the process."""
@@ -60,6 +66,7 @@
 
     def handle(self, event: Event, now_ms: float) -> list[Action]:
         """Take in one event and return what follows from it, in order."""
+        self._freshness.note_time(now_ms)
         match event:
             case QueryArrived(request=request):
                 self._requests.take_request(request, now_ms)
@@ -72,6 +79,7 @@
             case PeerMessageReceived(sender_id=sender_id, message=message):
                 self._take_message(sender_id, message, now_ms)
             case DocumentsReceived():
+                self._freshness.take_read(event)
                 self._configuration.take_documents(event, now_ms)
             case PlatformSilent():
                 self._configuration.take_silence(event)
@@ -90,6 +98,8 @@
             self.parts.admission.next_wake_ms(),
             self.parts.batcher.next_wake_ms(),
             self.parts.tickets.next_wake_ms(),
+            self.parts.freshness.next_wake_ms(),
+            self._requests.held.next_wake_ms(),
         ]
         return min(time for time in times if time is not None)
 
@@ -113,6 +123,12 @@
             },
             data_centres={name: found.state for name, found in view.data_centres.items()},
             is_watcher=self._configuration.watching,
+            view_unconfirmed_ms=(
+                None
+                if parts.freshness.is_confirmed
+                else now_ms - parts.freshness.unconfirmed_since_ms
+            ),
+            held_requests=len(self._requests.held),
         )
 
     def _take_message(self, sender_id: str, message: PeerMessage, now_ms: float) -> None:
@@ -125,6 +141,10 @@
                 self._configuration.take_update(message, now_ms)
             case SubqueryBatch():
                 self._calls.take_subqueries(sender_id, message, now_ms)
+            case Probe():
+                self._freshness.answer_probe(sender_id, message)
+            case ProbeReply():
+                self._freshness.take_reply(sender_id, message)
             case SubqueryResultBatch():
                 self._calls.take_results(message, now_ms)
             case CancelBatch(call_ids=call_ids):
@@ -135,6 +155,8 @@
                 self._requests.take_ticketed_answer(message)
 
     def _run_timers(self, now_ms: float) -> None:
+        self._freshness.run(now_ms)
+        self._requests.expire_held(now_ms)
         self._calls.run_coordination(self.parts.coordinator.expire(now_ms), now_ms)
         self._requests.take_ready(now_ms)
         self._requests.expire_forwarded(now_ms)
--- a/packages/geraniumlead/src/geraniumlead/instance/parts.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/parts.py
@@ -8,6 +8,7 @@
 from geraniumlead.coordination import QueryCoordinator
 from geraniumlead.dispatch import Dispatcher
 from geraniumlead.documents import TrafficClass
+from geraniumlead.freshness import ViewFreshness
 from geraniumlead.instance.batcher import PeerBatcher
 from geraniumlead.instance.lifecycle import Lifecycle
 from geraniumlead.instance.ticket_desk import TicketDesk
@@ -32,6 +33,7 @@
         "batcher",
         "coordinator",
         "dispatcher",
+        "freshness",
         "incarnation",
         "lifecycle",
         "membership",
@@ -42,7 +44,7 @@
         "tickets",
     )
 
-    def __init__(self, settings: InstanceSettings, random: Random) -> None:
+    def __init__(self, settings: InstanceSettings, random: Random, now_ms: float) -> None:
         instance_id, data_centre = settings.instance_id, settings.data_centre
         self.settings = settings
         self.random = random
@@ -51,6 +53,7 @@
         self.store = DocumentStore()
         self.membership = Membership(instance_id, data_centre, settings.timing.peer_timeout_ms)
         self.lifecycle = Lifecycle(settings.timing)
+        self.freshness = ViewFreshness(settings.timing.pause_gap_ms, random, now_ms)
         self.admission = AdmissionController(settings.limits)
         self.router = Router(instance_id, data_centre, self.membership, random)
         self.coordinator = QueryCoordinator(f"{instance_id}.{self.incarnation}.", self.router)
@@ -64,6 +67,11 @@
         in_service = self.store.view.is_data_centre_in(self.settings.data_centre)
         return self.lifecycle.is_serving and in_service
 
+    @property
+    def is_configured(self) -> bool:
+        """Return whether any documents are in force."""
+        return self.store.revision > 0
+
     def class_of(self, customer: str, class_name: str) -> TrafficClass | None:
         """Return a class of a contract in force."""
         contract = self.store.view.contracts.get(customer)
--- a/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
@@ -3,6 +3,7 @@
 from geraniumlead.actions import GiveTicket
 from geraniumlead.admission import Admitted, Queued, Refused
 from geraniumlead.events import TicketAsked
+from geraniumlead.freshness import HeldRequests
 from geraniumlead.instance.call_handler import CallHandler
 from geraniumlead.instance.parts import InstanceParts
 from geraniumlead.peers import TicketedAnswer, TicketedRequest
@@ -10,19 +11,29 @@
 from geraniumlead.requests import CallerRequest, NotRun, RefusalReason
 
 REFUSAL_RETRY_AFTER_MS = 1_000.0
+STALE_VIEW_RETRY_AFTER_MS = 250.0
 
 
 class RequestHandler:
     """Admit requests, start their queries, and give out tickets."""
 
-    __slots__ = ("_calls", "_parts")
+    __slots__ = ("_calls", "_parts", "held")
 
     def __init__(self, parts: InstanceParts, calls: CallHandler) -> None:
         self._parts = parts
         self._calls = calls
+        self.held = HeldRequests(parts.settings.limits.queued_requests)
 
     def take_request(self, request: CallerRequest, now_ms: float) -> None:
-        """Start, queue, forward or refuse a request."""
+        """Start, queue, hold, forward or refuse a request."""
+        if not self._parts.is_configured:
+            refusal = NotRun(RefusalReason.OUT_OF_SERVICE, REFUSAL_RETRY_AFTER_MS)
+            self._calls.answer(request, refusal)
+            return
+        if not self._parts.freshness.may_send:
+            if not self.held.hold(request, now_ms):
+                self._refuse_held(request)
+            return
         tickets = self._parts.tickets
         if request.ticket is not None:
             if not tickets.is_own(request.ticket):
@@ -51,8 +62,20 @@
                 case Refused(request=request, reason=reason, retry_after_ms=retry_after_ms):
                     self._calls.answer(request, NotRun(reason, retry_after_ms))
 
+    def release_held(self, now_ms: float) -> None:
+        """Take the requests that waited for the view to be confirmed."""
+        for request in self.held.release():
+            self.take_request(request, now_ms)
+
+    def expire_held(self, now_ms: float) -> None:
+        """Refuse the held requests that can no longer end in time; nothing of them was sent."""
+        for request in self.held.expire(now_ms):
+            self._refuse_held(request)
+
     def drop_caller(self, request_id: str, now_ms: float) -> None:
         """Forget a request whose caller is gone."""
+        if self.held.drop(request_id):
+            return
         # A ticket's request goes on: its caller may come back for the outcome.
         if self._parts.tickets.is_ticketed(request_id):
             return
@@ -116,6 +139,10 @@
         steps = parts.coordinator.start(request, traffic_class, plan, now_ms)
         self._calls.run_coordination(steps, now_ms)
 
+    def _refuse_held(self, request: CallerRequest) -> None:
+        refusal = NotRun(RefusalReason.STALE_VIEW, STALE_VIEW_RETRY_AFTER_MS)
+        self._calls.answer(request, refusal)
+
     def _refuse_admitted(
         self, request: CallerRequest, reason: RefusalReason, now_ms: float
     ) -> None:
--- a/packages/geraniumlead/src/geraniumlead/instance/status.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/status.py
@@ -18,3 +18,5 @@
     peers: dict[str, bool]
     data_centres: dict[str, str]
     is_watcher: bool
+    view_unconfirmed_ms: float | None = None
+    held_requests: int = 0
--- a/packages/geraniumlead/src/geraniumlead/peers/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peers/messages.py
@@ -50,6 +50,21 @@
     documents: tuple[VersionedValue, ...]
 
 
+class Probe(Struct, frozen=True, array_like=True, tag="probe"):
+    """Ask a peer to answer at once; ``nonce`` ties the answer to this question."""
+
+    nonce: int
+    revision: int = 0
+
+
+class ProbeReply(Struct, frozen=True, array_like=True, tag="probe_reply"):
+    """Answer a probe; ``is_fresh`` is unset while the sender's own view is unconfirmed."""
+
+    nonce: int
+    revision: int
+    is_fresh: bool
+
+
 class SubqueryBatch(Struct, frozen=True, array_like=True, tag="subqueries"):
     """Carry the subqueries for one owner that one batching tick collected."""
 
@@ -123,4 +138,6 @@
     | QuarantineNotice
     | TicketedRequest
     | TicketedAnswer
+    | Probe
+    | ProbeReply
 )
