--- a/packages/geraniumlead-standins/tests/standins_tests/membership/test_pause.py
+++ b/packages/geraniumlead-standins/tests/standins_tests/membership/test_pause.py
@@ -111,6 +111,7 @@
             recorded.ask("noord-0", f"r{number}", allowed_ms=60_000.0)
         recorded.run_for(1.0)
         recorded.run.freeze("noord-0")
+        recorded.run_for(100.0)
         recorded.set_data_centre("noord", "out")
         recorded.run_for(FROZEN_MS)
         recorded.calls.clear()
