Claim only complete revisions, spread without watchers, and settle reused revisions

Cause: a peer's update raised the receiver's revision although an earlier one was lost, and nobody offered the lost one again; with both watchers dead nobody heard the platform; two values of one revision (platform restored from a backup) were kept apart for good. Failed try: resetting the divergence when any peer agreed never asked, since own-centre peers agree; resetting the drawn read time at each relayed age never read.

--- a/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/decision_cluster.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/decision_cluster.py
@@ -19,7 +19,7 @@
 from geraniumlead.documents.decoding import key_of_document
 from geraniumlead.events import DocumentsReceived, PeerMessageReceived
 from geraniumlead.instance import Instance
-from geraniumlead.peers import Heartbeat
+from geraniumlead.peers import Heartbeat, ProbeReply
 from geraniumlead.settings import InstanceSettings, ListenSettings
 
 OWN_NAME = "noord-0"
@@ -83,8 +83,11 @@
     instance = Instance(settings, Random(1), 0.0)
     instance.start(0.0)
     documents = build_documents(shards, instances, contracts)
-    instance.handle(DocumentsReceived(1, documents, is_snapshot=True), 0.0)
+    freshness = instance.parts.freshness
+    instance.handle(DocumentsReceived(1, documents, True, freshness.read_number), 0.0)
     for number in range(1, instances):
         heartbeat = Heartbeat(f"life-{number}", "noord", 1, 1, True)
         instance.handle(PeerMessageReceived(f"noord-{number}", heartbeat), 0.0)
+        reply = ProbeReply(freshness.nonce, 1, True)
+        instance.handle(PeerMessageReceived(f"noord-{number}", reply), 0.0)
     return instance
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/fake_platform.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/fake_platform.py
@@ -24,9 +24,18 @@
         self._changes += published
         return tuple(published)
 
+    def restore(self, revision: int) -> None:
+        """Go back to a backup: later changes are lost and their revisions used again."""
+        self._changes = [change for change in self._changes if change.revision <= revision]
+        self.revision = revision
+
+    def check(self) -> int:
+        """Return the revision that a reader sees now."""
+        self.calls += 1
+        return self.revision if self.stale_at_revision is None else self.stale_at_revision
+
     def read(self) -> tuple[int, tuple[VersionedValue, ...]]:
         """Return the revision and live documents that a reader sees now."""
-        self.calls += 1
-        seen = self.revision if self.stale_at_revision is None else self.stale_at_revision
+        seen = self.check()
         newest = {change.key: change for change in self._changes if change.revision <= seen}
         return seen, tuple(change for change in newest.values() if change.value is not None)
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/virtual_instance.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/virtual_instance.py
@@ -16,5 +16,6 @@
     is_frozen: bool = False
     is_watching: bool = False
     watch_number: int = 0
+    seen_revision: int = 0
     held_back: deque[Event] = field(default_factory=deque)
     wake_ms: float = float("inf")
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/virtual_run.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/virtual_run.py
@@ -33,6 +33,8 @@
 
 PLATFORM = "platform"
 PLATFORM_RETRY_MS = 500.0
+WATCH_CHECK_MS = 1_000.0
+"""A watcher asks at this interval whether its watch missed anything, as the client does."""
 
 AnswerObserver = Callable[[str, AnswerCaller | GiveTicket, float], None]
 
@@ -78,10 +80,13 @@
 
     def publish(self, values: dict[str, bytes | None]) -> None:
         """Publish documents; watchers that reach the platform hear of them."""
+        before = self.platform.revision
         published = self.platform.publish(values)
+        revision = self.platform.revision
         for name, host in self.instances.items():
             if host.is_watching and self._is_platform_reachable(name):
-                event = DocumentsReceived(self.platform.revision, published, is_snapshot=False)
+                event = DocumentsReceived(revision, published, False, above_revision=before)
+                host.seen_revision = revision
                 delay_ms = self.link.draw_delay_ms(PLATFORM, name) or 0.0
                 self.queue.add(self.now_ms + delay_ms, lambda n=name, e=event: self.deliver(n, e))
 
@@ -214,14 +219,36 @@
             return
         if not self._is_platform_reachable(name):
             self.deliver(name, PlatformSilent("no answer"))
+            if not action.watch:
+                return
             again_ms = self.now_ms + PLATFORM_RETRY_MS
             self.queue.add(again_ms, lambda: self._answer_read(name, host, number, action))
             return
         revision, documents = self.platform.read()
         host.is_watching = action.watch
+        host.seen_revision = revision
         event = DocumentsReceived(revision, documents, True, action.read_number)
         delay_ms = self.link.draw_delay_ms(PLATFORM, name) or 0.0
         self.queue.add(self.now_ms + delay_ms, lambda: self.deliver(name, event))
+        if action.watch:
+            check_ms = self.now_ms + WATCH_CHECK_MS
+            self.queue.add(check_ms, lambda: self._check_watch(name, host, number, action))
+
+    def _check_watch(
+        self, name: str, host: VirtualInstance, number: int, action: ReadPlatform
+    ) -> None:
+        if host.watch_number != number or not host.is_alive:
+            return
+        if not self._is_platform_reachable(name):
+            self._answer_read(name, host, number, action)
+            return
+        revision = self.platform.check()
+        if revision != host.seen_revision:
+            self._answer_read(name, host, number, action)
+            return
+        self.deliver(name, DocumentsReceived(revision, (), False, above_revision=revision))
+        check_ms = self.now_ms + WATCH_CHECK_MS
+        self.queue.add(check_ms, lambda: self._check_watch(name, host, number, action))
 
     def _is_platform_reachable(self, name: str) -> bool:
         cut = self.link.cut
--- /dev/null
+++ b/packages/geraniumlead-standins/tests/standins_tests/membership/test_spread.py
@@ -0,0 +1,152 @@
+"""Test how fast and how surely a change comes into force everywhere."""
+
+from unittest import TestCase
+
+from msgspec.json import encode
+from msgspec.structs import replace
+
+from geraniumlead_standins.virtual.small_cluster import (
+    ClusterSize,
+    SmallCluster,
+    default_contract,
+)
+from standins_tests.membership.builders import SETTLED_MS, RecordedCluster
+
+TWO_CENTRES = ClusterSize(data_centres=("noord", "zuid"), instances=6)
+IN_FORCE_MS = 6_000.0
+CONTRACT_KEY = "geraniumlead/contracts/acme"
+
+
+def watchers_of(recorded: RecordedCluster, data_centre: str) -> list[str]:
+    return [
+        name
+        for name in recorded.run.instances
+        if name.startswith(data_centre)
+        and recorded.instance(name).status(recorded.run.now_ms).is_watcher
+    ]
+
+
+def rates_in_force(recorded: RecordedCluster) -> set[float]:
+    return {
+        host.instance.parts.store.view.contracts["acme"].rate_per_s
+        for host in recorded.run.instances.values()
+        if host.is_alive
+    }
+
+
+def contract_value(rate_per_s: float) -> bytes:
+    return encode(replace(default_contract(), rate_per_s=rate_per_s))
+
+
+def build_settled(seed: int = 1) -> RecordedCluster:
+    recorded = RecordedCluster.from_size(TWO_CENTRES, seed)
+    recorded.run_for(SETTLED_MS)
+    return recorded
+
+
+class SpreadTests(TestCase):
+    def test_two_instances_of_a_data_centre_watch(self):
+        recorded = build_settled()
+        self.assertEqual(2, len(watchers_of(recorded, "noord")))
+
+    def test_in_force_in_time_when_all_watchers_are_killed(self):
+        """Both watchers of both data centres die, and a change is published just then.
+
+        Nobody hears the platform any more, and the list still names the dead. The others
+        notice by the age of the news and read in their own time.
+        """
+        for seed in range(5):
+            recorded = build_settled(seed)
+            for name in watchers_of(recorded, "noord") + watchers_of(recorded, "zuid"):
+                recorded.run.kill(name)
+            recorded.run.publish({CONTRACT_KEY: contract_value(77.0)})
+            recorded.run_for(IN_FORCE_MS)
+            self.assertEqual({77.0}, rates_in_force(recorded))
+
+    def test_in_force_in_time_when_a_data_centre_lost_the_platform(self):
+        recorded = build_settled()
+        noord = {name for name in recorded.run.instances if name.startswith("noord")}
+        recorded.run.link.cut_between(noord, {"platform"})
+        recorded.run.publish({CONTRACT_KEY: contract_value(77.0)})
+        recorded.run_for(IN_FORCE_MS)
+        self.assertEqual({77.0}, rates_in_force(recorded))
+
+    def test_in_force_in_time_when_half_of_the_messages_are_lost(self):
+        for seed in range(5):
+            recorded = build_settled(seed)
+            recorded.run.link.loss = 0.5
+            for rate in (1.0, 2.0, 3.0, 77.0):
+                recorded.run.publish({CONTRACT_KEY: contract_value(rate)})
+                recorded.run_for(20.0)
+            recorded.run_for(IN_FORCE_MS)
+            self.assertEqual({77.0}, rates_in_force(recorded))
+
+    def test_reads_stay_within_the_budget_while_the_platform_is_down(self):
+        recorded = build_settled()
+        recorded.run.platform.is_down = True
+        recorded.run_for(10_000.0)
+        calls: list[str] = []
+        recorded.run.on_action = lambda name, action, now_ms: calls.append(type(action).__name__)
+        recorded.run_for(20_000.0)
+        reads_per_s = calls.count("ReadPlatform") / 20.0
+        self.assertGreater(reads_per_s, 0.0)
+        self.assertLessEqual(reads_per_s, 2 * 4.0 * 1.25)
+        self.assertEqual({recorded.run.platform.revision}, recorded.revisions())
+
+    def test_comes_back_to_one_configuration_after_a_cut(self):
+        recorded = build_settled()
+        noord = {name for name in recorded.run.instances if name.startswith("noord")}
+        others = {name for name in recorded.run.instances if name not in noord}
+        recorded.run.link.cut_between(noord, others | {"platform"})
+        recorded.run.publish({CONTRACT_KEY: contract_value(77.0)})
+        recorded.run_for(20_000.0)
+        self.assertEqual(2, len(rates_in_force(recorded)))
+        recorded.run.link.heal()
+        recorded.run_for(IN_FORCE_MS)
+        self.assertEqual({77.0}, rates_in_force(recorded))
+
+    def test_a_platform_that_went_back_in_time_reverts_nothing(self):
+        """The platform comes back from a backup, and publishes under reused revisions.
+
+        Each data centre hears another value under one revision. All keep the same one in
+        the end, say so loudly, and none falls back to the value before.
+        """
+        recorded = build_settled()
+        noord = {name for name in recorded.run.instances if name.startswith("noord")}
+        zuid = {name for name in recorded.run.instances if name.startswith("zuid")}
+        recorded.run.link.cut_between(zuid, noord | {"platform"})
+        recorded.run.publish({CONTRACT_KEY: contract_value(55.0)})
+        recorded.run_for(1_000.0)
+        recorded.run.link.heal()
+        recorded.run.link.cut_between(noord, zuid | {"platform"})
+        recorded.run.platform.restore(recorded.run.platform.revision - 1)
+        recorded.run.publish({CONTRACT_KEY: contract_value(66.0)})
+        recorded.run_for(3_000.0)
+        self.assertEqual({55.0, 66.0}, rates_in_force(recorded))
+        recorded.run.link.heal()
+        recorded.run.link.cut_between(noord, {"platform"})
+        recorded.run_for(IN_FORCE_MS)
+        self.assertEqual({66.0}, rates_in_force(recorded))
+        self.assertIn("configuration_diverged", {report for _, report in recorded.reports})
+        self.assertIn("document_conflict", {report for _, report in recorded.reports})
+
+
+class OperatorsRaceTests(TestCase):
+    def test_the_order_of_the_platform_decides_everywhere(self):
+        recorded = build_settled()
+        recorded.set_data_centre("noord", "out")
+        recorded.set_data_centre("noord", "in")
+        recorded.set_data_centre("noord", "out")
+        recorded.run_for(IN_FORCE_MS)
+        states = {
+            host.instance.parts.store.view.is_data_centre_in("noord")
+            for host in recorded.run.instances.values()
+        }
+        self.assertEqual({False}, states)
+
+
+class SmallClusterTests(TestCase):
+    def test_one_instance_alone_turns_ready(self):
+        cluster = SmallCluster.from_size(ClusterSize(instances=1), 1)
+        cluster.run.queue.run_until(100.0)
+        self.assertTrue(cluster.run.instances["noord-0"].instance.parts.is_ready)
--- a/packages/geraniumlead/src/geraniumlead/configuration/document_store.py
+++ b/packages/geraniumlead/src/geraniumlead/configuration/document_store.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from xxhash import xxh3_64_intdigest
+
 from geraniumlead.configuration.cluster_view import ClusterView
 from geraniumlead.configuration.store_change import StoreChange
 from geraniumlead.documents.decoding import decode_document
@@ -15,15 +17,21 @@
 
     A platform that restarts from an old copy, or a peer that slept, offers revisions that
     are lower than those in force; they are dropped, so a configuration never reverts.
+
+    ``revision`` is complete: every change up to it was taken. ``digest`` is over the live
+    documents with their revisions, whatever their order of arrival, so two stores with equal
+    revisions and digests act on the same configuration.
     """
 
-    __slots__ = ("_documents", "_newest", "_refused", "revision", "view")
+    __slots__ = ("_documents", "_last_good", "_newest", "_refused", "digest", "revision", "view")
 
     def __init__(self) -> None:
         self._newest: dict[str, VersionedValue] = {}
         self._documents: dict[str, object] = {}
+        self._last_good: dict[str, VersionedValue] = {}
         self._refused: dict[str, RefusedDocument] = {}
         self.revision = 0
+        self.digest = 0
         self.view = ClusterView()
 
     @property
@@ -31,40 +39,96 @@
         """Return the documents whose newest revision was refused."""
         return tuple(self._refused.values())
 
+    @property
+    def lacks_last_good(self) -> bool:
+        """Return whether a document was refused and none of before is in force instead."""
+        return any(key not in self._documents for key in self._refused)
+
     def apply(
-        self, documents: Iterable[VersionedValue], revision: int, is_snapshot: bool = False
+        self,
+        documents: Iterable[VersionedValue],
+        revision: int,
+        is_snapshot: bool = False,
+        above_revision: int | None = None,
     ) -> StoreChange:
         """Take the documents that are newer than those held.
 
-        ``revision`` is the platform revision that the documents bring the store to. With
-        ``is_snapshot``, keys that are missing from ``documents`` were deleted.
+        ``documents`` hold every change above ``above_revision`` up to ``revision``; None
+        says that they continue from what this store has. With ``is_snapshot``, keys that are
+        missing from ``documents`` were deleted.
         """
         documents = tuple(documents)
-        if is_snapshot and revision >= self.revision:
+        is_forked = is_snapshot and self._contradicts(documents, revision)
+        if is_snapshot and revision >= self.revision and not is_forked:
             documents += self._find_deletions(documents, revision)
-        taken, refused = [], []
+        taken, refused, conflicts = [], [], []
         for versioned in documents:
+            if self._is_conflict(versioned):
+                conflicts.append(versioned.key)
             if not self._is_news(versioned):
+                if self._restore_last_good(versioned):
+                    taken.append(versioned)
                 continue
             taken.append(versioned)
-            self._newest[versioned.key] = versioned
             refusal = self._put(versioned)
             if refusal is not None:
                 refused.append(refusal)
-        self.revision = max(self.revision, revision)
+        # A peer's update that leaves a gap must not raise the revision: this store would
+        # claim what it lacks, and no peer would ever offer it again.
+        if is_snapshot or above_revision is None or above_revision <= self.revision:
+            self.revision = max(self.revision, revision)
         if taken:
             self.view = ClusterView.from_documents(list(self._documents.values()))
-        return StoreChange(tuple(taken), tuple(refused))
+        return StoreChange(tuple(taken), tuple(refused), tuple(conflicts), is_forked)
 
     def documents_above(self, revision: int) -> tuple[VersionedValue, ...]:
-        """Return every value and deletion with a higher revision, for a peer that lags."""
-        return tuple(held for held in self._newest.values() if held.revision > revision)
+        """Return every value and deletion with a higher revision, for a peer that lags.
+
+        Where the newest value was refused, the last good one comes along.
+        """
+        newer = [held for held in self._newest.values() if held.revision > revision]
+        good = [self._last_good[key] for key in self._refused if key in self._last_good]
+        return (*good, *newer)
 
     def _is_news(self, versioned: VersionedValue) -> bool:
         if kind_of_key(versioned.key) is None:
             return False
         held = self._newest.get(versioned.key)
-        return held is None or versioned.revision > held.revision
+        if held is None or versioned.revision > held.revision:
+            return True
+        # Two values of one revision can only come from a platform that was restored from a
+        # backup. All instances keep the greater text, whichever came first.
+        return self._is_conflict(versioned) and (versioned.value or b"") > (held.value or b"")
+
+    def _restore_last_good(self, versioned: VersionedValue) -> bool:
+        # An instance that started after a bad value was published would have nothing in
+        # force for the key, while its peers act on the last good one.
+        key = versioned.key
+        if key not in self._refused or versioned.value is None:
+            return False
+        held = self._last_good.get(key)
+        if held is not None and held.revision >= versioned.revision:
+            return False
+        document = decode_document(versioned)
+        if isinstance(document, RefusedDocument):
+            return False
+        self._last_good[key], self._documents[key] = versioned, document
+        return True
+
+    def _is_conflict(self, versioned: VersionedValue) -> bool:
+        held = self._newest.get(versioned.key)
+        if held is None or held.revision != versioned.revision:
+            return False
+        return held.value != versioned.value
+
+    def _contradicts(self, documents: tuple[VersionedValue, ...], revision: int) -> bool:
+        # A key that went back below the snapshot's own revision: the platform forgot what
+        # it had said. What it forgot is then missing, not deleted by an operator.
+        for versioned in documents:
+            held = self._newest.get(versioned.key)
+            if held is not None and versioned.revision < held.revision <= revision:
+                return True
+        return False
 
     def _find_deletions(
         self, documents: tuple[VersionedValue, ...], revision: int
@@ -77,7 +141,10 @@
         )
 
     def _put(self, versioned: VersionedValue) -> RefusedDocument | None:
+        self.digest ^= _digest_of(self._newest.get(versioned.key)) ^ _digest_of(versioned)
+        self._newest[versioned.key] = versioned
         if versioned.value is None:
+            self._last_good.pop(versioned.key, None)
             self._documents.pop(versioned.key, None)
             self._refused.pop(versioned.key, None)
             return None
@@ -86,5 +153,14 @@
             self._refused[versioned.key] = document
             return document
         self._documents[versioned.key] = document
+        self._last_good[versioned.key] = versioned
         self._refused.pop(versioned.key, None)
         return None
+
+
+def _digest_of(versioned: VersionedValue | None) -> int:
+    # Deletions are left out: a new instance never hears of keys deleted before its start.
+    if versioned is None or versioned.value is None:
+        return 0
+    prefix = f"{versioned.key}\0{versioned.revision}\0".encode()
+    return xxh3_64_intdigest(prefix + versioned.value)
--- a/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
@@ -1,24 +1,31 @@
 """Take documents from the platform and from peers."""
 
 from geraniumlead.actions import ReadPlatform, Report
-from geraniumlead.documents import VersionedValue
+from geraniumlead.configuration import DivergenceWatch, StoreChange
 from geraniumlead.events import DocumentsReceived, PlatformSilent
 from geraniumlead.instance.call_handler import CallHandler
 from geraniumlead.instance.parts import InstanceParts
+from geraniumlead.membership import PlatformContact
 from geraniumlead.ownership import OwnerTable
 from geraniumlead.peers import DocumentsUpdate, DocumentsWanted, Goodbye, Heartbeat
 
+EVERYTHING = -1
+REREAD_INTERVAL_MS = 2_000.0
+"""Least time between two reads that a watcher begins because a watch left a gap."""
+
 
 class ConfigurationHandler:
     """Bring accepted documents into force and spread them in the data centre."""
 
-    __slots__ = ("_calls", "_parts", "platform_heard_ms", "watching")
+    __slots__ = ("_calls", "_divergence", "_parts", "_reread_ms", "contact", "watching")
 
     def __init__(self, parts: InstanceParts, calls: CallHandler) -> None:
         self._parts = parts
         self._calls = calls
+        self._divergence = DivergenceWatch()
+        self._reread_ms = float("-inf")
+        self.contact = PlatformContact(parts.random)
         self.watching = False
-        self.platform_heard_ms: float | None = None
 
     def start(self) -> None:
         """Read the platform until the list of instances says who watches it."""
@@ -30,56 +37,109 @@
         number = self._parts.freshness.read_number
         self._parts.actions.append(ReadPlatform(watch=self.watching, read_number=number))
 
+    def read_if_nobody_does(self, now_ms: float) -> None:
+        """Read the platform when neither a watcher nor a peer has news from it."""
+        local = 1 + len(self._parts.membership.local_peers())
+        if self.contact.takes_over(self.watching, local, now_ms):
+            self.read_anew()
+
     def take_documents(self, event: DocumentsReceived, now_ms: float) -> None:
         """Take in news from the platform and pass them on to local peers."""
-        self.platform_heard_ms = now_ms
-        taken = self._apply(event.documents, event.revision, event.is_snapshot, now_ms)
-        if taken:
-            update = DocumentsUpdate(self._parts.store.revision, taken)
-            for peer in self._parts.membership.local_peers():
-                self._parts.send(peer.entry.instance_id, update)
+        store = self._parts.store
+        held_revision = store.revision
+        change = store.apply(
+            event.documents, event.revision, event.is_snapshot, event.above_revision
+        )
+        self._bring_into_force(change, now_ms)
+        if change.taken:
+            self._push(DocumentsUpdate(store.revision, change.taken, held_revision))
+        if event.revision < store.revision:
+            # An old copy of the platform: it is no sign that nothing newer was published.
+            self._note_behind(event.revision, now_ms)
+        elif event.revision > store.revision:
+            self._reread(now_ms)
+        else:
+            self.contact.note_heard(now_ms)
 
     def take_silence(self, event: PlatformSilent) -> None:
         """Note that the platform did not answer; what is in force stays in force."""
         fields = {"detail": event.detail}
         self._parts.actions.append(Report("platform_silent", fields, "warning"))
 
-    def take_update(self, message: DocumentsUpdate, now_ms: float) -> None:
+    def take_update(self, sender_id: str, message: DocumentsUpdate, now_ms: float) -> None:
         """Take in documents from a peer."""
-        self._apply(message.documents, message.revision, False, now_ms)
+        parts = self._parts
+        held_revision = parts.store.revision
+        change = parts.store.apply(
+            message.documents, message.revision, above_revision=message.above_revision
+        )
+        self._bring_into_force(change, now_ms)
+        if message.revision > parts.store.revision:
+            parts.send(sender_id, DocumentsWanted(parts.store.revision))
+        sender = parts.membership.peers.get(sender_id)
+        if change.taken and sender is not None and sender.data_centre != parts.settings.data_centre:
+            # What another data centre told reaches the own one by this instance alone.
+            self._push(DocumentsUpdate(parts.store.revision, change.taken, held_revision))
 
     def give_documents(self, sender_id: str, message: DocumentsWanted) -> None:
         """Send a peer the documents that it lacks."""
         store = self._parts.store
         documents = store.documents_above(message.above_revision)
-        self._parts.send(sender_id, DocumentsUpdate(store.revision, documents))
+        update = DocumentsUpdate(store.revision, documents, message.above_revision)
+        self._parts.send(sender_id, update)
 
     def take_sign_of_life(
         self, sender_id: str, message: Heartbeat | Goodbye, now_ms: float
     ) -> None:
         """Note that a peer lives or leaves; ask it for documents that are news here."""
-        parts = self._parts
-        peer = parts.membership.hear(sender_id, message, now_ms)
-        if peer is not None and peer.revision > parts.store.revision:
-            parts.send(sender_id, DocumentsWanted(parts.store.revision))
+        peer = self._parts.membership.hear(sender_id, message, now_ms)
+        if peer is not None and isinstance(message, Heartbeat):
+            self._compare(sender_id, message, now_ms)
+
+    def _compare(self, sender_id: str, heartbeat: Heartbeat, now_ms: float) -> None:
+        parts, store = self._parts, self._parts.store
+        if heartbeat.revision > store.revision:
+            parts.send(sender_id, DocumentsWanted(store.revision))
+            return
+        # An age counts only together with the revision that was heard then.
+        if heartbeat.platform_age_ms is not None:
+            self.contact.note_relayed(heartbeat.platform_age_ms, now_ms)
+        if heartbeat.revision != store.revision:
+            return
+        if self._divergence.must_ask(store.digest, heartbeat.digest, now_ms):
+            fields = {"peer": sender_id, "revision": store.revision}
+            parts.actions.append(Report("configuration_diverged", fields, "error"))
+            parts.send(sender_id, DocumentsWanted(EVERYTHING))
+
+    def _push(self, update: DocumentsUpdate) -> None:
+        for peer in self._parts.membership.local_peers():
+            self._parts.send(peer.entry.instance_id, update)
+
+    def _note_behind(self, revision: int, now_ms: float) -> None:
+        if now_ms - self._reread_ms < REREAD_INTERVAL_MS:
+            return
+        fields = {"platform_revision": revision, "revision": self._parts.store.revision}
+        self._parts.actions.append(Report("platform_behind", fields, "warning"))
+        self._reread(now_ms)
+
+    def _reread(self, now_ms: float) -> None:
+        if self.watching and now_ms - self._reread_ms >= REREAD_INTERVAL_MS:
+            self._reread_ms = now_ms
+            self.read_anew()
 
-    def _apply(
-        self,
-        documents: tuple[VersionedValue, ...],
-        revision: int,
-        is_snapshot: bool,
-        now_ms: float,
-    ) -> tuple[VersionedValue, ...]:
+    def _bring_into_force(self, change: StoreChange, now_ms: float) -> None:
         parts = self._parts
-        change = parts.store.apply(documents, revision, is_snapshot)
         for refused in change.refused:
             fields = {"key": refused.key, "revision": refused.revision, "reason": refused.reason}
             parts.actions.append(Report("document_refused", fields, "error"))
+        for key in change.conflicts:
+            parts.actions.append(Report("document_conflict", {"key": key}, "error"))
+        if change.is_forked:
+            parts.actions.append(Report("platform_history_forked", {}, "error"))
         if change.taken:
             self._adopt_view(now_ms)
             fields = {"revision": parts.store.revision, "documents": len(change.taken)}
             parts.actions.append(Report("configuration_in_force", fields))
-        return change.taken
 
     def _adopt_view(self, now_ms: float) -> None:
         parts = self._parts
@@ -93,4 +153,5 @@
         wanted = parts.membership.is_watcher()
         if wanted != self.watching:
             self.watching = wanted
-            parts.actions.append(ReadPlatform(watch=wanted, stop=not wanted))
+            number = parts.freshness.read_number
+            parts.actions.append(ReadPlatform(wanted, stop=not wanted, read_number=number))
--- a/packages/geraniumlead/src/geraniumlead/instance/freshness_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/freshness_handler.py
@@ -57,7 +57,7 @@
         taken = parts.freshness.take_reply(
             sender_id, message.nonce, message.revision, message.is_fresh
         )
-        if taken and message.revision > parts.store.revision:
+        if taken and (message.revision > parts.store.revision or parts.store.lacks_last_good):
             parts.send(sender_id, DocumentsWanted(parts.store.revision))
 
     def run(self, now_ms: float) -> None:
--- a/packages/geraniumlead/src/geraniumlead/instance/heartbeat_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/heartbeat_handler.py
@@ -18,10 +18,10 @@
         self._sequence = 0
         self.due_ms = now_ms
 
-    def beat_if_due(self, now_ms: float) -> None:
-        """Send a heartbeat to every listed peer when the interval has passed."""
+    def beat_if_due(self, now_ms: float, platform_age_ms: float | None) -> bool:
+        """Send a heartbeat to every listed peer; False when the interval has not passed."""
         if now_ms < self.due_ms:
-            return
+            return False
         parts = self._parts
         self.due_ms = now_ms + parts.settings.timing.heartbeat_interval_ms
         self._sequence += 1
@@ -33,6 +33,9 @@
             revision=parts.store.revision,
             ready=parts.is_ready,
             demand=reports[EVERY_PEER],
+            platform_age_ms=platform_age_ms,
+            digest=parts.store.digest,
+            stopping=parts.lifecycle.is_stopping,
         )
         for instance_id in parts.membership.peers:
             own = reports.get(instance_id)
@@ -40,6 +43,7 @@
         open_requests = len(parts.coordinator)
         if parts.lifecycle.may_exit(open_requests, now_ms):
             parts.actions.append(StopNow(open_requests))
+        return True
 
     def begin_stop(self, now_ms: float) -> None:
         """Begin the graceful stop and tell the peers."""
--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -107,7 +107,6 @@
     def status(self, now_ms: float) -> InstanceStatus:
         """Summarise this instance for operators."""
         parts = self.parts
-        heard_ms = self._configuration.platform_heard_ms
         view = parts.store.view
         return InstanceStatus(
             instance_id=parts.settings.instance_id,
@@ -116,7 +115,7 @@
             ready=parts.is_ready,
             stopping=parts.lifecycle.is_stopping,
             revision=parts.store.revision,
-            platform_age_ms=None if heard_ms is None else now_ms - heard_ms,
+            platform_age_ms=self._configuration.contact.age_ms(now_ms),
             refused_documents={item.key: item.reason for item in parts.store.refused},
             open_requests=len(parts.coordinator),
             peers={
@@ -141,7 +140,7 @@
             case DocumentsWanted():
                 self._configuration.give_documents(sender_id, message)
             case DocumentsUpdate():
-                self._configuration.take_update(message, now_ms)
+                self._configuration.take_update(sender_id, message, now_ms)
             case SubqueryBatch():
                 self._calls.take_subqueries(sender_id, message, now_ms)
             case Probe():
@@ -163,7 +162,8 @@
         self._calls.run_coordination(self.parts.coordinator.expire(now_ms), now_ms)
         self._requests.take_ready(now_ms)
         self._requests.expire_forwarded(now_ms)
-        self._heartbeats.beat_if_due(now_ms)
+        if self._heartbeats.beat_if_due(now_ms, self._configuration.contact.age_ms(now_ms)):
+            self._configuration.read_if_nobody_does(now_ms)
         for peer_id, message in self.parts.batcher.take_due(now_ms):
             self.parts.send(peer_id, message)
 
--- a/packages/geraniumlead/src/geraniumlead/membership/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/membership/__init__.py
@@ -2,5 +2,6 @@
 
 from geraniumlead.membership.membership import Membership
 from geraniumlead.membership.peer import Peer
+from geraniumlead.membership.platform_contact import PlatformContact
 
-__all__ = ["Membership", "Peer"]
+__all__ = ["Membership", "Peer", "PlatformContact"]
--- a/packages/geraniumlead/src/geraniumlead/peers/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peers/messages.py
@@ -25,7 +25,11 @@
 
 
 class Heartbeat(Struct, frozen=True, array_like=True, tag="heartbeat"):
-    """Say that the sender lives, and which configuration it acts on."""
+    """Say that the sender lives, and which configuration it acts on.
+
+    ``platform_age_ms`` is the age of the platform's news that ``revision`` stands for, and
+    ``digest`` is over its contents. A ``stopping`` sender takes no new work.
+    """
 
     incarnation: str
     data_centre: str
@@ -33,6 +37,9 @@
     revision: int
     ready: bool
     demand: tuple[ContractDemand, ...] = ()
+    platform_age_ms: float | None = None
+    digest: int = 0
+    stopping: bool = False
 
 
 class Goodbye(Struct, frozen=True, array_like=True, tag="goodbye"):
@@ -48,10 +55,11 @@
 
 
 class DocumentsUpdate(Struct, frozen=True, array_like=True, tag="documents_update"):
-    """Carry changed documents, and the platform revision that they bring a peer to."""
+    """Carry every change above ``above_revision`` up to ``revision``."""
 
     revision: int
     documents: tuple[VersionedValue, ...]
+    above_revision: int
 
 
 class Probe(Struct, frozen=True, array_like=True, tag="probe"):
