--- a/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/fake_upstream.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/fake_upstream.py
@@ -40,7 +40,9 @@
 
     While ``cold_answers_left`` is above 0, more than ``cold_allowance`` calls at once make it
     fall over. A query whose text holds ``crash_text`` crashes it. ``holds`` maps index
-    versions to shards. ``log`` gets every receipt, run, crash and fall, for histories.
+    versions to shards. A restart, fall or crash closes all connections: ``restarts`` counts
+    these and ``on_disconnect`` hears of them. ``log`` gets every receipt, run, crash and
+    fall, for histories.
     """
 
     upstream_id: str
@@ -61,6 +63,8 @@
     crashes: int = 0
     most_while_cold: int = 0
     received: int = 0
+    restarts: int = 0
+    on_disconnect: Callable[[], None] = lambda: None
     log: Callable[..., None] = lambda **line: None
     _running: list[Running] = field(default_factory=list)
     _waiting: deque[Running] = field(default_factory=deque)
@@ -143,6 +147,8 @@
         self._lose_all()
 
     def _lose_all(self) -> None:
+        self.restarts += 1
+        self.on_disconnect()
         lost = [*self._running, *self._waiting]
         self._running.clear()
         self._waiting.clear()
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/virtual_run.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/virtual_run.py
@@ -1,5 +1,6 @@
 """Run instances, upstreams and a platform in one process, in virtual time."""
 
+from collections import defaultdict
 from collections.abc import Callable
 from random import Random
 
@@ -20,11 +21,12 @@
     PlatformSilent,
     TimerFired,
     UpstreamAnswered,
+    UpstreamDisconnected,
 )
 from geraniumlead.instance import Instance
 from geraniumlead.peers import decode_message, encode_message
 from geraniumlead.settings import InstanceSettings
-from geraniumlead.upstreams import NotReached, TimedOut, UpstreamAnswer
+from geraniumlead.upstreams import ConnectionLost, NotReached, TimedOut, UpstreamAnswer
 from geraniumlead_standins.virtual.event_queue import EventQueue
 from geraniumlead_standins.virtual.fake_link import FakeLink
 from geraniumlead_standins.virtual.fake_platform import FakePlatform
@@ -53,6 +55,7 @@
         self.instances: dict[str, VirtualInstance] = {}
         self.on_answer: AnswerObserver = lambda name, action, now_ms: None
         self.on_action: Callable[[str, Action, float], None] = lambda name, action, now_ms: None
+        self._users: dict[str, set[str]] = defaultdict(set)
         self._calls: dict[tuple[str, str], tuple[FakeUpstream, Running | None]] = {}
 
     @property
@@ -64,6 +67,7 @@
         """Start an upstream that listens on an address."""
         random = Random(self.random.random())
         upstream = FakeUpstream(upstream_id, self.queue, random, **changes)
+        upstream.on_disconnect = lambda: self._disconnect(upstream)
         self.upstreams[address] = upstream
         return upstream
 
@@ -154,15 +158,28 @@
             answered = UpstreamAnswered(action.call_id, NotReached("nothing listens there"))
             self.queue.add(self.now_ms, lambda: self.deliver(name, answered))
             return
+        self._users[upstream.upstream_id].add(name)
         self._calls[name, action.call_id] = (upstream, None)
+        restarts = upstream.restarts
         self.queue.add(
             self.now_ms + action.timeout_ms, lambda: self._end_call(name, action, TimedOut())
         )
         delay_ms = self.link.draw_delay_ms(name, upstream.upstream_id)
         if delay_ms is not None:
-            self.queue.add(self.now_ms + delay_ms, lambda: self._arrive(name, action, upstream))
+            self.queue.add(
+                self.now_ms + delay_ms, lambda: self._arrive(name, action, upstream, restarts)
+            )
 
-    def _arrive(self, name: str, action: CallUpstream, upstream: FakeUpstream) -> None:
+    def _disconnect(self, upstream: FakeUpstream) -> None:
+        event = UpstreamDisconnected(upstream.upstream_id)
+        for name in sorted(self._users.pop(upstream.upstream_id, ())):
+            delay_ms = self.link.draw_delay_ms(upstream.upstream_id, name)
+            if delay_ms is not None:
+                self.queue.add(self.now_ms + delay_ms, lambda n=name: self.deliver(n, event))
+
+    def _arrive(
+        self, name: str, action: CallUpstream, upstream: FakeUpstream, restarts: int
+    ) -> None:
         if (name, action.call_id) not in self._calls:
             return
 
@@ -171,6 +188,10 @@
             if delay_ms is not None:
                 self.queue.add(self.now_ms + delay_ms, lambda: self._end_call(name, action, found))
 
+        # What was under way on a connection from before a restart never reaches the upstream.
+        if upstream.restarts != restarts:
+            answer(ConnectionLost("reset"))
+            return
         running = upstream.receive(action.subquery, answer)
         if (name, action.call_id) in self._calls:
             self._calls[name, action.call_id] = (upstream, running)
--- a/packages/geraniumlead/src/geraniumlead/cold_start/cold_start_guard.py
+++ b/packages/geraniumlead/src/geraniumlead/cold_start/cold_start_guard.py
@@ -121,6 +121,10 @@
         if not warmth.takes_load:
             warmth.ready_ms = max(warmth.ready_ms, now_ms + SETTLE_MS)
 
+    def note_disconnected(self, upstream_id: str, now_ms: float) -> WarmthPhase | None:
+        """Take the loss of all connections for a sign; return COLD when this is news."""
+        return self.warmth_of(upstream_id).note_cold(now_ms)
+
     def note_told(self, upstream_id: str, phase: str, now_ms: float) -> None:
         """Take in what another owner saw."""
         warmth = self.warmth_of(upstream_id)
--- a/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
@@ -251,7 +251,7 @@
         steps: list[CoordinationStep] = []
         for call_id in shard.call_ids:
             call = self._calls.pop(call_id)
-            self._router.note_cancelled(call.route.upstream_id, now_ms - call.sent_ms)
+            self._router.note_cancelled(call.route.upstream_id, now_ms - call.sent_ms, now_ms)
             steps.append(DropCall(call_id, call.route))
         shard.call_ids.clear()
         return steps
--- a/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
@@ -114,6 +114,18 @@
         self._guard.note_cut_off(gate.entry, now_ms)
         return [StopCall(call_id), *self._start_waiting(gate, now_ms)]
 
+    def note_disconnected(self, upstream_id: str, now_ms: float) -> list[DispatchStep]:
+        """Take an upstream that closed its connections for cold, and tell its other owners.
+
+        Failure: an upstream restarts while no call is under way. Without this sign two owners
+        may send at the same moment, each as much as it did before, and it falls over.
+        """
+        gate = self._gates.get(upstream_id)
+        if gate is None or self._guard.note_disconnected(upstream_id, now_ms) is None:
+            return []
+        steps = self._keep_within_allowance(gate, now_ms)
+        return [*self._tell_owners(gate, WarmthPhase.COLD), *steps]
+
     def note_told(self, upstream_id: str, phase: str, now_ms: float) -> list[DispatchStep]:
         """Take in what another owner saw of an upstream."""
         if upstream_id not in self._view.upstreams:
@@ -140,6 +152,14 @@
         """Return when ``wake`` has to be called."""
         return min(self._due_ms.values()) if self._due_ms else None
 
+    def warm_upstreams_of(self, owner_id: str, now_ms: float) -> list[str]:
+        """Return the upstreams that another owner may take for warm, too."""
+        return [
+            upstream_id
+            for upstream_id in self._guard.warm_upstreams(now_ms)
+            if owner_id in self._owners.owners_of(upstream_id)
+        ]
+
     def has_free_cold_slot(self, upstream_id: str, now_ms: float) -> bool:
         """Return whether a call would start at once on this instance's cold slot."""
         gate = self._gate_for(upstream_id)
--- a/packages/geraniumlead/src/geraniumlead/events/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/events/__init__.py
@@ -10,6 +10,7 @@
 from geraniumlead.events.ticket_asked import TicketAsked
 from geraniumlead.events.timer_fired import TimerFired
 from geraniumlead.events.upstream_answered import UpstreamAnswered
+from geraniumlead.events.upstream_disconnected import UpstreamDisconnected
 
 __all__ = [
     "CallerGone",
@@ -22,4 +23,5 @@
     "TicketAsked",
     "TimerFired",
     "UpstreamAnswered",
+    "UpstreamDisconnected",
 ]
--- a/packages/geraniumlead/src/geraniumlead/events/event.py
+++ b/packages/geraniumlead/src/geraniumlead/events/event.py
@@ -9,12 +9,14 @@
 from geraniumlead.events.ticket_asked import TicketAsked
 from geraniumlead.events.timer_fired import TimerFired
 from geraniumlead.events.upstream_answered import UpstreamAnswered
+from geraniumlead.events.upstream_disconnected import UpstreamDisconnected
 
 Event = (
     QueryArrived
     | TicketAsked
     | CallerGone
     | UpstreamAnswered
+    | UpstreamDisconnected
     | PeerMessageReceived
     | DocumentsReceived
     | PlatformSilent
--- a/packages/geraniumlead/src/geraniumlead/instance/call_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/call_handler.py
@@ -1,6 +1,7 @@
 """Carry out the steps of the coordinator and the dispatcher."""
 
 from geraniumlead.actions import AnswerCaller, CallUpstream, CancelCall
+from geraniumlead.cold_start import WarmthPhase
 from geraniumlead.coordination import AskUpstream, CoordinationStep, DropCall, EndQuery
 from geraniumlead.dispatch import DispatchStep, EndCall, StartCall, StopCall, TellOwners
 from geraniumlead.events import UpstreamAnswered
@@ -45,6 +46,19 @@
         for call_id in call_ids:
             self.run_dispatch(self._parts.dispatcher.cancel(call_id, now_ms), now_ms)
 
+    def hand_over_warmth(self, peer_id: str, now_ms: float) -> None:
+        """Tell a new process which of the upstreams that it owns too were shown warm.
+
+        Without this a replaced instance takes every upstream for unproven, and its callers
+        wait for slot holders until each has answered once.
+        """
+        for upstream_id in self._parts.dispatcher.warm_upstreams_of(peer_id, now_ms):
+            self._parts.send(peer_id, UpstreamNotice(upstream_id, WarmthPhase.WARM, 0.0))
+
+    def take_disconnection(self, upstream_id: str, now_ms: float) -> None:
+        """Note that an upstream closed its connections, which a restart does."""
+        self.run_dispatch(self._parts.dispatcher.note_disconnected(upstream_id, now_ms), now_ms)
+
     def take_notice(self, notice: UpstreamNotice, now_ms: float) -> None:
         """Take in what another owner saw of an upstream."""
         steps = self._parts.dispatcher.note_told(notice.upstream_id, notice.state, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
@@ -54,7 +54,11 @@
     ) -> None:
         """Note that a peer lives or leaves; ask it for documents that are news here."""
         parts = self._parts
+        known = parts.membership.peers.get(sender_id)
+        known_incarnation = None if known is None else known.incarnation
         peer = parts.membership.hear(sender_id, message, now_ms)
+        if peer is not None and peer.incarnation != known_incarnation:
+            self._calls.hand_over_warmth(sender_id, now_ms)
         if peer is not None and peer.revision > parts.store.revision:
             parts.send(sender_id, DocumentsWanted(parts.store.revision))
 
--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -14,6 +14,7 @@
     TicketAsked,
     TimerFired,
     UpstreamAnswered,
+    UpstreamDisconnected,
 )
 from geraniumlead.instance.call_handler import CallHandler
 from geraniumlead.instance.configuration_handler import ConfigurationHandler
@@ -71,6 +72,8 @@
                 self._requests.drop_caller(request_id, now_ms)
             case UpstreamAnswered():
                 self._calls.take_answer(event, now_ms)
+            case UpstreamDisconnected(upstream_id=upstream_id):
+                self._calls.take_disconnection(upstream_id, now_ms)
             case PeerMessageReceived(sender_id=sender_id, message=message):
                 self._take_message(sender_id, message, now_ms)
             case DocumentsReceived():
--- a/packages/geraniumlead/src/geraniumlead/routing/replica.py
+++ b/packages/geraniumlead/src/geraniumlead/routing/replica.py
@@ -5,6 +5,9 @@
 LATENCY_WEIGHT = 0.2
 """Weight of the newest latency: five answers after a step the mean is two thirds there."""
 
+LATENCY_HALVES_MS = 2_000.0
+"""Age at which a latency counts half; one ten times slower is tried again after 18 s."""
+
 SUSPECT_AFTER_OVERDUE = 3
 """Overdue calls in a row after which a replica is suspected.
 
@@ -29,6 +32,7 @@
     is_own: bool
     in_flight: int = 0
     latency_ms: float = 0.0
+    seen_ms: float = 0.0
     overdue_in_row: int = 0
     is_suspected: bool = False
     probe_due_ms: float = 0.0
@@ -36,22 +40,28 @@
     cold_until_ms: float = float("-inf")
     backoff_ms: float = 0.0
 
-    @property
-    def score(self) -> float:
-        """Return the expected wait: calls in front of a new one times the time of each."""
-        return (self.in_flight + 1) * (self.latency_ms or 1.0)
+    def score(self, now_ms: float) -> float:
+        """Return the expected wait: calls in front of a new one times the time of each.
+
+        A latency that was not seen again counts less with time. Without this a replica that
+        was slow once, or only a little slower than its equals, would never be used again.
+        """
+        age = max(0.0, now_ms - self.seen_ms) / LATENCY_HALVES_MS
+        return (self.in_flight + 1) * (self.latency_ms or 1.0) / (1.0 + age)
 
-    def note_latency(self, latency_ms: float) -> None:
+    def note_latency(self, latency_ms: float, now_ms: float) -> None:
         """Learn from an answer."""
+        self.seen_ms = now_ms
         self.overdue_in_row, self.backoff_ms = 0, 0.0
         if self.latency_ms:
             self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
         else:
             self.latency_ms = latency_ms
 
-    def note_at_least(self, elapsed_ms: float) -> None:
+    def note_at_least(self, elapsed_ms: float, now_ms: float) -> None:
         """Learn from a call that was cancelled: its latency was at least this."""
         if elapsed_ms > self.latency_ms > 0.0:
+            self.seen_ms = now_ms
             self.latency_ms += LATENCY_WEIGHT * (elapsed_ms - self.latency_ms)
 
     def note_failure(self, now_ms: float) -> None:
--- a/packages/geraniumlead/src/geraniumlead/routing/router.py
+++ b/packages/geraniumlead/src/geraniumlead/routing/router.py
@@ -27,6 +27,9 @@
 COLD_HINT_MS = 500.0
 """Time for which an upstream that an owner called cold is reached through slot holders only."""
 
+SAME_SCORE = 1.5
+"""Ratio up to which two replicas count as equal."""
+
 PROBE_INTERVAL_MS = 500.0
 """Time between probes of a suspected replica: recovery shows within a second."""
 
@@ -98,13 +101,17 @@
         """Return the best way to one of ``replicas`` that was not tried, or None."""
         group = self._group_of(replicas)
         for tier in group.tiers:
-            good = [
-                replica
-                for replica in tier
-                if replica.upstream_id not in tried and self._is_good(replica, now_ms)
-            ]
+            good = []
+            for replica in tier:
+                if replica.upstream_id in tried or self._looks_bad(replica, now_ms):
+                    continue
+                if not self._is_known_cold(replica, now_ms):
+                    good.append(replica)
+                elif replica.is_own and self._has_free_cold_slot(replica, now_ms):
+                    # A free cold slot is used first: that is how the upstream gets warm.
+                    return Route(replica.upstream_id, None)
             while good:
-                replica = self._pick(good)
+                replica = self._pick(good, now_ms)
                 route = self._route_to(replica, now_ms, long_running)
                 if route is not None:
                     return route
@@ -145,7 +152,7 @@
             case Records(cold=True):
                 replica.overdue_in_row = 0
             case Records():
-                self._note_records(replica, latency_ms)
+                self._note_records(replica, latency_ms, now_ms)
             case Cold():
                 replica.cold_until_ms = now_ms + COLD_HINT_MS
             case TimedOut(silent_connection=True):
@@ -155,12 +162,12 @@
             case Shed(retry_after_ms=retry_after_ms):
                 replica.avoid_until_ms = now_ms + min(retry_after_ms, COLD_HINT_MS)
 
-    def note_cancelled(self, upstream_id: str, elapsed_ms: float) -> None:
+    def note_cancelled(self, upstream_id: str, elapsed_ms: float, now_ms: float) -> None:
         """Count a subquery that was cancelled."""
         replica = self._replicas.get(upstream_id)
         if replica is not None:
             replica.in_flight -= 1
-            replica.note_at_least(elapsed_ms)
+            replica.note_at_least(elapsed_ms, now_ms)
 
     def note_overdue(self, upstream_id: str, now_ms: float) -> None:
         """Count a subquery whose answer is late; suspect the replica after some in a row."""
@@ -177,7 +184,7 @@
         """Return the upstreams that answer late."""
         return frozenset(self._suspected)
 
-    def _note_records(self, replica: Replica, latency_ms: float) -> None:
+    def _note_records(self, replica: Replica, latency_ms: float, now_ms: float) -> None:
         if replica.is_suspected:
             others = [
                 other.latency_ms
@@ -190,28 +197,25 @@
             replica.is_suspected = False
             replica.latency_ms = latency_ms
             self._suspected.discard(replica.upstream_id)
-        replica.note_latency(latency_ms)
+        replica.note_latency(latency_ms, now_ms)
 
-    def _is_good(self, replica: Replica, now_ms: float) -> bool:
+    def _looks_bad(self, replica: Replica, now_ms: float) -> bool:
         if now_ms < replica.avoid_until_ms:
-            return False
-        if replica.is_suspected and 2 * len(self._suspected) <= len(self._replicas):
-            return False
-        if not replica.is_own:
-            return now_ms >= replica.cold_until_ms
-        upstream_id = replica.upstream_id
-        if self._cold_start.takes_load(upstream_id, now_ms):
             return True
-        return self._dispatcher.has_free_cold_slot(upstream_id, now_ms)
+        return replica.is_suspected and 2 * len(self._suspected) <= len(self._replicas)
+
+    def _has_free_cold_slot(self, replica: Replica, now_ms: float) -> bool:
+        return self._dispatcher.has_free_cold_slot(replica.upstream_id, now_ms)
 
-    def _pick(self, good: list[Replica]) -> Replica:
+    def _pick(self, good: list[Replica], now_ms: float) -> Replica:
         count = len(good)
         if count == 1:
             return good[0]
         first = int(self._random.random() * count)
         second = int(self._random.random() * (count - 1))
         one, other = good[first], good[second if second < first else second + 1]
-        return one if one.score <= other.score else other
+        # Scores that differ by noise only leave the choice to chance, which spreads load.
+        return other if one.score(now_ms) > SAME_SCORE * other.score(now_ms) else one
 
     def _choose_last_resort(
         self, group: ReplicaGroup, tried: Collection[str], now_ms: float, long_running: bool
