--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/histories/caller_crowd.py
@@ -0,0 +1,208 @@
+"""Send requests as many callers do, and send them again when something goes wrong."""
+
+from itertools import count
+from random import Random
+
+from msgspec.json import decode, encode
+
+from geraniumlead.actions import AnswerCaller, GiveTicket
+from geraniumlead.events import CallerGone, QueryArrived, TicketAsked
+from geraniumlead.requests import Answered, CallerRequest, Failed, NotRun, Outcome, Unknown
+from geraniumlead_standins.histories.balancer import Balancer
+from geraniumlead_standins.histories.open_request import OpenRequest
+from geraniumlead_standins.histories.operation import Operation
+from geraniumlead_standins.histories.recorded_run import RecordedRun
+from geraniumlead_standins.history import RecordSeen
+from geraniumlead_standins.virtual.small_cluster import CUSTOMER, SERVICE
+
+ONE_WAY_MS = 1.0
+GRACE_MS = 400.0
+FROZEN_POLL_MS = 20.0
+MOST_ATTEMPTS = 4
+DEADLINES_MS = {"lookup": 200.0, "booking": 500.0}
+LEAST_COVERAGE = 0.3
+CALLER = "callers"
+
+
+class CallerCrowd:
+    """Run operations: a booking asks for a ticket first, and sends it with every attempt."""
+
+    def __init__(self, run: RecordedRun, balancer: Balancer, random: Random) -> None:
+        self._run = run
+        self._balancer = balancer
+        self._random = random
+        self._numbers = count()
+        self._open: dict[str, OpenRequest] = {}
+        self._ticket_asks: dict[str, Operation] = {}
+        run.on_answer = self._take_answer
+        run.on_kill = self._lose_requests
+
+    def start(self, operation: Operation) -> None:
+        """Begin an operation now."""
+        if operation.idempotent or operation.ticket:
+            self._send(operation)
+            if operation.sends_twice:
+                self._send(operation)
+            return
+        request_id = f"t{next(self._numbers)}"
+        self._ticket_asks[request_id] = operation
+        name = self._balancer.choose()
+        event = TicketAsked(request_id, CUSTOMER, operation.class_name)
+        self._later(ONE_WAY_MS, lambda: self._run.deliver(name, event))
+        self._later(GRACE_MS, lambda: self._ask_ticket_again(request_id))
+
+    def _ask_ticket_again(self, request_id: str) -> None:
+        operation = self._ticket_asks.pop(request_id, None)
+        if operation is not None and operation.attempts < MOST_ATTEMPTS:
+            operation.attempts += 1
+            self.start(operation)
+
+    def _send(self, operation: Operation) -> None:
+        operation.attempts += 1
+        request = OpenRequest(
+            f"q{next(self._numbers)}",
+            operation,
+            self._balancer.choose(),
+            DEADLINES_MS[operation.class_name],
+        )
+        self._open[request.request_id] = request
+        self._run.recorder.note(
+            CALLER,
+            "sent",
+            request_id=request.request_id,
+            token=operation.token,
+            instance=request.instance,
+            service=SERVICE,
+            class_name=operation.class_name,
+            idempotent=operation.idempotent,
+            one_shard=operation.key is not None,
+            attempt=operation.attempts,
+            deadline_ms=request.deadline_ms,
+        )
+        self._later(ONE_WAY_MS, lambda: self._arrive(request))
+        self._later(request.deadline_ms + GRACE_MS, lambda: self._time_out(request))
+        if operation.gives_up_after_ms is not None and operation.attempts == 1:
+            self._later(operation.gives_up_after_ms, lambda: self._hang_up(request))
+
+    def _arrive(self, request: OpenRequest) -> None:
+        host = self._run.instances[request.instance]
+        if not host.is_alive:
+            self._close(request, "lost", reason="connection refused")
+            return
+        if host.is_frozen:
+            # The bytes wait in the socket; the process reads them when it wakes.
+            self._later(FROZEN_POLL_MS, lambda: self._arrive(request))
+            return
+        operation, now_ms = request.operation, self._run.now_ms
+        asked = CallerRequest(
+            request_id=request.request_id,
+            customer=CUSTOMER,
+            class_name=operation.class_name,
+            query=operation.query,
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + request.deadline_ms,
+            least_coverage=LEAST_COVERAGE if operation.idempotent else 1.0,
+            key=operation.key,
+            attempt=operation.attempts,
+            ticket=operation.ticket,
+        )
+        self._run.deliver(request.instance, QueryArrived(asked))
+        if request.is_closed:
+            self._run.deliver(request.instance, CallerGone(request.request_id))
+
+    def _take_answer(self, name: str, action: AnswerCaller | GiveTicket, now_ms: float) -> None:
+        match action:
+            case GiveTicket(request_id=request_id, ticket=ticket):
+                operation = self._ticket_asks.pop(request_id, None)
+                if operation is not None and ticket is not None:
+                    operation.ticket = ticket
+                    self._later(ONE_WAY_MS, lambda: self.start(operation))
+            case AnswerCaller(request_id=request_id, outcome=outcome):
+                request = self._open.get(request_id)
+                if request is not None:
+                    self._later(ONE_WAY_MS, lambda: self._take_outcome(request, outcome))
+
+    def _take_outcome(self, request: OpenRequest, outcome: Outcome) -> None:
+        match outcome:
+            case Answered(index_version=version, coverage=coverage, records=records):
+                self._close(
+                    request,
+                    "whole" if coverage.is_whole else "partial",
+                    index_version=version,
+                    asked=coverage.asked_shards,
+                    answered=coverage.answered_shards,
+                    missing=tuple(item.shard for item in coverage.missing),
+                    records=_read_records(records),
+                )
+            case NotRun(reason=reason):
+                self._close(request, "not_run", reason=reason.value)
+            case Unknown(detail=detail):
+                self._close(request, "unknown", reason=detail)
+            case Failed(detail=detail):
+                self._close(request, "failed", reason=detail)
+
+    def _close(self, request: OpenRequest, outcome: str, **fields) -> None:
+        if request.has_timed_out:
+            return
+        self._run.recorder.note(
+            CALLER, "answered", request_id=request.request_id, outcome=outcome, **fields
+        )
+        if request.is_closed:
+            return
+        request.is_closed = True
+        operation = request.operation
+        operation.is_done |= outcome in ("whole", "partial", "failed")
+        self._send_again_later(operation)
+
+    def _send_again_later(self, operation: Operation) -> None:
+        pause_ms = self._random.uniform(5.0, 800.0)
+        if not operation.is_done and operation.attempts < MOST_ATTEMPTS:
+            self._later(pause_ms, lambda: operation.is_done or self._send(operation))
+
+    def _time_out(self, request: OpenRequest) -> None:
+        if not request.is_closed:
+            self._close(request, "lost", reason="timeout")
+            request.has_timed_out = True
+            self._run.deliver(request.instance, CallerGone(request.request_id))
+
+    def _hang_up(self, request: OpenRequest) -> None:
+        if request.is_closed:
+            return
+        request.is_closed = request.has_timed_out = True
+        self._run.recorder.note(CALLER, "dropped", request_id=request.request_id)
+        self._run.deliver(request.instance, CallerGone(request.request_id))
+        self._send_again_later(request.operation)
+
+    def _lose_requests(self, name: str) -> None:
+        for request in self._open.values():
+            if request.instance == name and not request.is_closed:
+                self._later(ONE_WAY_MS, lambda request=request: self._lose(request))
+
+    def _lose(self, request: OpenRequest) -> None:
+        if not request.is_closed:
+            self._close(request, "lost", reason="connection reset")
+            request.has_timed_out = True
+
+    def _later(self, delay_ms: float, callback) -> None:
+        self._run.queue.add(self._run.now_ms + delay_ms, callback)
+
+
+def build_operation(number: int, random: Random, text: str = "x") -> Operation:
+    """Draw a lookup over all shards, a lookup of one key, or a booking of one key."""
+    kind = random.choice(("lookup", "lookup", "keyed", "booking"))
+    token = f"{kind}-{number}"
+    return Operation(
+        token=token,
+        class_name="booking" if kind == "booking" else "lookup",
+        query=encode({"token": token, "text": text}),
+        idempotent=kind != "booking",
+        key=None if kind == "lookup" else f"member-{random.randrange(50)}",
+    )
+
+
+def _read_records(texts: tuple[bytes, ...]) -> tuple[RecordSeen, ...]:
+    return tuple(
+        RecordSeen(record["shard"], record["version"], record["token"])
+        for text in texts
+        for record in decode(text)
+    )
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/histories/plain_variants.py
@@ -0,0 +1,149 @@
+"""Take one safeguard out of the system, so that its check is seen to fail.
+
+Each variant patches a part for the time of a run. The product has no such switches.
+"""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from unittest.mock import patch
+
+from geraniumlead.configuration import ClusterView, DocumentStore
+from geraniumlead.coordination import QueryCoordinator
+from geraniumlead.coordination.open_query import OpenQuery
+from geraniumlead.dispatch.upstream_gate import UpstreamGate
+from geraniumlead.instance.lifecycle import Lifecycle
+from geraniumlead.instance.ticket_desk import TicketDesk
+from geraniumlead.requests import Coverage, NotRun, RefusalReason, Unknown
+from geraniumlead.tickets import TicketBook
+from geraniumlead.upstreams import Records
+
+
+@contextmanager
+def merge_any_version() -> Iterator[None]:
+    """Merge what comes for a shard, of whatever version."""
+
+    def is_same_shard(self, query, shard, answer: Records) -> bool:
+        return answer.shard == shard.plan.shard
+
+    with patch.object(QueryCoordinator, "_is_of_plan", is_same_shard):
+        yield
+
+
+@contextmanager
+def count_only_answers() -> Iterator[None]:
+    """Report only the shards that answered, so that a missing one is never seen."""
+
+    def coverage(self) -> Coverage:
+        answered = sum(1 for shard in self.shards if shard.records is not None)
+        return Coverage(max(answered, 1), answered)
+
+    with patch.object(OpenQuery, "coverage", coverage):
+        yield
+
+
+@contextmanager
+def ignore_cold() -> Iterator[None]:
+    """Use every slot of an upstream, cold or not."""
+    with patch.object(UpstreamGate, "most_in_flight", property(lambda self: self.entry.slots)):
+        yield
+
+
+@contextmanager
+def ignore_data_centre_state() -> Iterator[None]:
+    """Send to a data centre whatever operators say."""
+    with patch.object(ClusterView, "is_data_centre_in", lambda self, name: True):
+        yield
+
+
+@contextmanager
+def ignore_leaving() -> Iterator[None]:
+    """Send to an upstream while its entry exists."""
+
+    def is_usable(self, upstream_id: str) -> bool:
+        placed = self.upstreams.get(upstream_id)
+        return placed is not None and self.is_data_centre_in(placed.data_centre)
+
+    with patch.object(ClusterView, "is_usable", is_usable):
+        yield
+
+
+@contextmanager
+def number_calls_alike() -> Iterator[None]:
+    """Number calls from one in every process, so that a late answer finds another call."""
+    original = QueryCoordinator.__init__
+
+    def init(self, call_prefix: str, *rest) -> None:
+        original(self, call_prefix.split(".")[0] + ".", *rest)
+
+    with patch.object(QueryCoordinator, "__init__", init):
+        yield
+
+
+@contextmanager
+def call_unknown_not_run() -> Iterator[None]:
+    """Tell callers "not run" where the truth is not known."""
+
+    def outcome_of(self, query):
+        found = original(self, query)
+        return NotRun(RefusalReason.UPSTREAM_SHED, 10.0) if isinstance(found, Unknown) else found
+
+    def end(self, query, outcome, now_ms):
+        if isinstance(outcome, Unknown):
+            outcome = NotRun(RefusalReason.UPSTREAM_SHED, 10.0)
+        return original_end(self, query, outcome, now_ms)
+
+    original, original_end = QueryCoordinator._outcome_of, QueryCoordinator._end
+    with (
+        patch.object(QueryCoordinator, "_outcome_of", outcome_of),
+        patch.object(QueryCoordinator, "_end", end),
+    ):
+        yield
+
+
+@contextmanager
+def run_each_arrival() -> Iterator[None]:
+    """Run a booking whenever and wherever it arrives."""
+    with (
+        patch.object(TicketDesk, "is_own", lambda self, ticket: True),
+        patch.object(TicketDesk, "claim", lambda self, request, now_ms: None),
+        patch.object(TicketDesk, "join_running", lambda self, request: False),
+        patch.object(TicketBook, "start", lambda self, ticket: None),
+    ):
+        yield
+
+
+@contextmanager
+def stop_at_once() -> Iterator[None]:
+    """Exit as soon as a stop is asked for."""
+
+    def may_exit(self, *args) -> bool:
+        return self.is_stopping
+
+    with patch.object(Lifecycle, "may_exit", may_exit):
+        yield
+
+
+@contextmanager
+def take_any_revision() -> Iterator[None]:
+    """Take every document that a source offers, old or new."""
+
+    def is_news(self, versioned) -> bool:
+        held = self._newest.get(versioned.key)
+        return held is None or versioned.revision != held.revision
+
+    with patch.object(DocumentStore, "_is_news", is_news):
+        yield
+
+
+PLAIN_VARIANTS: dict[str, Callable] = {
+    "one snapshot": merge_any_version,
+    "true coverage": count_only_answers,
+    "cold load": ignore_cold,
+    "data centre out": ignore_data_centre_state,
+    "own answer": number_calls_alike,
+    "not run": call_unknown_not_run,
+    "at most once": run_each_arrival,
+    "leaving upstream": ignore_leaving,
+    "graceful stop": stop_at_once,
+    "configuration": take_any_revision,
+}
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/histories/recorded_run.py
@@ -0,0 +1,123 @@
+"""Record all that happens in a virtual run."""
+
+from functools import partial
+
+from msgspec.json import decode
+
+from geraniumlead.actions import Action, CallUpstream, Report, StopNow
+from geraniumlead.instance import Instance
+from geraniumlead.settings import InstanceSettings
+from geraniumlead.upstreams import Records, UpstreamAnswer
+from geraniumlead_standins.history import MemoryRecorder
+from geraniumlead_standins.virtual import FakeUpstream, VirtualRun
+
+FAULTS = "faults"
+
+
+class RecordedRun(VirtualRun):
+    """Be a virtual run whose publications, processes, links and upstreams write a history."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.recorder = MemoryRecorder(lambda: self.now_ms)
+        self.on_action = self._note_action
+        self.on_reply = self._note_reply
+        self.on_kill = lambda name: None
+        self._exits: dict[str, int] = {}
+
+    def add_upstream(self, address: str, upstream_id: str, **changes) -> FakeUpstream:
+        """Start an upstream that writes what it sees."""
+        upstream = super().add_upstream(address, upstream_id, **changes)
+        upstream.log = partial(self.recorder.note, upstream_id)
+        return upstream
+
+    def find_upstream(self, upstream_id: str) -> FakeUpstream:
+        """Return an upstream by its name."""
+        return next(u for u in self.upstreams.values() if u.upstream_id == upstream_id)
+
+    def start_instance(self, settings: InstanceSettings) -> Instance:
+        """Start the process of an instance."""
+        name = settings.instance_id
+        instance = super().start_instance(settings)
+        self._note_process(name, "process_started")
+        return instance
+
+    def publish(self, values: dict[str, bytes | None]) -> None:
+        """Publish documents."""
+        for number, (key, value) in enumerate(values.items()):
+            self.recorder.note(
+                "platform",
+                "published",
+                key=key,
+                revision=self.platform.revision + 1 + number,
+                value=None if value is None else decode(value),
+            )
+        super().publish(values)
+
+    def kill(self, name: str) -> None:
+        """End a process, with notice when it asked for its end itself."""
+        if not self.instances[name].is_alive:
+            return
+        cut_off = self._exits.pop(name, None)
+        if cut_off is None:
+            self._note_process(name, "process_killed")
+        else:
+            self._note_process(name, "process_stopped", cut_off=cut_off)
+        super().kill(name)
+        self.on_kill(name)
+
+    def freeze(self, name: str) -> None:
+        """Stop a process for a while."""
+        self._note_process(name, "frozen")
+        super().freeze(name)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        if self.instances[name].is_frozen:
+            self._note_process(name, "thawed")
+            super().thaw(name)
+
+    def cut(self, pairs: set[tuple[str, str]]) -> None:
+        """Cut links, each in one direction."""
+        self.recorder.note(FAULTS, "cut", pairs=tuple(sorted(pairs)))
+        self.link.cut |= pairs
+
+    def heal(self) -> None:
+        """Open all links again."""
+        self.recorder.note(FAULTS, "healed")
+        self.link.heal()
+
+    def set_platform(self, is_down: bool = False, stale_at_revision: int | None = None) -> None:
+        """Change what the platform does; up and fresh again, its watchers read anew."""
+        self.platform.is_down = is_down
+        self.platform.stale_at_revision = stale_at_revision
+        if is_down:
+            self.recorder.note(FAULTS, "platform_down")
+        elif stale_at_revision is not None:
+            self.recorder.note(FAULTS, "platform_stale")
+        else:
+            self.recorder.note(FAULTS, "platform_up")
+        self.read_platform_again()
+
+    def _note_process(self, name: str, event: str, **fields) -> None:
+        incarnation = self.instances[name].instance.parts.incarnation
+        self.recorder.note(FAULTS, event, instance=name, incarnation=incarnation, **fields)
+
+    def _note_action(self, name: str, action: Action, now_ms: float) -> None:
+        match action:
+            case StopNow(cut_off_requests=cut_off):
+                self._exits[name] = cut_off
+            case Report(name="configuration_in_force"):
+                parts = self.instances[name].instance.parts
+                held = {item.key: item.revision for item in parts.store.documents_above(0)}
+                self.recorder.note(name, "in_force", incarnation=parts.incarnation, revisions=held)
+
+    def _note_reply(self, name: str, action: CallUpstream, answer: UpstreamAnswer) -> None:
+        if isinstance(answer, Records):
+            self.recorder.note(
+                name,
+                "reply_arrived",
+                request_id=action.subquery.request_id,
+                index_version=answer.index_version,
+                shard=answer.shard,
+            )
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/histories/stage.py
@@ -0,0 +1,155 @@
+"""Set up a small cluster with callers, and change it as operators and the platform do."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from msgspec.json import encode
+from msgspec.structs import replace
+
+from geraniumlead.documents import (
+    DataCentreDocument,
+    DocumentKind,
+    IndexDocument,
+    ShardEntry,
+    UpstreamEntry,
+    UpstreamListDocument,
+    document_key,
+)
+from geraniumlead.events import StopRequested
+from geraniumlead_standins.histories.balancer import Balancer
+from geraniumlead_standins.histories.caller_crowd import CallerCrowd
+from geraniumlead_standins.histories.recorded_run import FAULTS, RecordedRun
+from geraniumlead_standins.history.checks.cold_load import WHILE_AWAY
+from geraniumlead_standins.virtual.small_cluster import (
+    SERVICE,
+    ClusterSize,
+    SmallCluster,
+    build_index,
+    default_contract,
+)
+
+HERE, THERE = "noord", "zuid"
+SIZE = ClusterSize(data_centres=(HERE, THERE), instances=2, shards=3, replicas=2)
+
+COLD_ANSWERS = 12
+CONTRACT = replace(default_contract(), concurrent_requests=24)
+
+
+@dataclass(slots=True)
+class Stage:
+    """Hold a running cluster of two data centres and its callers."""
+
+    run: RecordedRun
+    cluster: SmallCluster
+    crowd: CallerCrowd
+    random: Random
+    returns_cold: bool = False
+
+    @classmethod
+    def from_seed(cls, seed: int) -> "Stage":
+        """Start everything; all randomness comes from the seed."""
+        run = RecordedRun(seed)
+        cluster = SmallCluster.from_size(SIZE, seed, CONTRACT, run=run)
+        crowd = CallerCrowd(run, Balancer(run, Random(f"{seed}/b")), Random(f"{seed}/c"))
+        return cls(run, cluster, crowd, Random(f"{seed}/s"))
+
+    def at(self, time_ms: float, callback: Callable[[], None]) -> None:
+        """Do something at a time."""
+        self.run.queue.add(time_ms, callback)
+
+    @property
+    def names(self) -> list[str]:
+        """Return the names of all instances."""
+        return sorted(self.cluster.settings)
+
+    def names_in(self, data_centre: str) -> set[str]:
+        """Return the instances of a data centre."""
+        return {name for name in self.names if name.startswith(data_centre)}
+
+    def upstream_ids(self, data_centre: str = "") -> list[str]:
+        """Return the upstreams of a data centre, or all."""
+        found = [upstream.upstream_id for upstream in self.run.upstreams.values()]
+        return sorted(name for name in found if f"-{data_centre}" in name)
+
+    def publish(self, kind: DocumentKind, *parts: str, document: object | None) -> None:
+        """Publish a document, or delete it."""
+        value = None if document is None else encode(document)
+        self.run.publish({document_key(kind, *parts): value})
+
+    def set_data_centre(self, name: str, state: str) -> None:
+        """Take a data centre out, or bring it back."""
+        document = DataCentreDocument(name=name, region=name, state=state)
+        self.publish(DocumentKind.DATA_CENTRE, name, document=document)
+
+    def bring_back(self, name: str) -> None:
+        """Bring a data centre back; its idle upstreams may have turned cold meanwhile."""
+        if self.returns_cold:
+            for upstream_id in self.upstream_ids(name):
+                upstream = self.run.find_upstream(upstream_id)
+                upstream.turn_cold(COLD_ANSWERS, reason=WHILE_AWAY)
+        self.set_data_centre(name, "in")
+
+    def set_upstream_states(self, data_centre: str, leaving: set[str]) -> None:
+        """Publish a data centre's upstreams, some of them leaving."""
+        entries = [
+            UpstreamEntry(
+                upstream_id=upstream.upstream_id,
+                service=SERVICE,
+                address=address,
+                slots=SIZE.slots,
+                connections=SIZE.connections,
+                state="leaving" if upstream.upstream_id in leaving else "serving",
+            )
+            for address, upstream in self.run.upstreams.items()
+            if f"-{data_centre}-" in upstream.upstream_id
+        ]
+        document = UpstreamListDocument(data_centre=data_centre, upstreams=entries)
+        self.publish(DocumentKind.UPSTREAM_LIST, data_centre, document=document)
+
+    def change_contract(self, weight: int) -> None:
+        """Publish the customer's contract with another weight."""
+        contract = replace(CONTRACT, weight=weight)
+        self.publish(DocumentKind.CONTRACT, contract.customer, document=contract)
+
+    def repartition(self, version: int, shard_count: int) -> None:
+        """Spread the data anew over other upstreams, as a new index version."""
+        names = {place: self.upstream_ids(place) for place in SIZE.data_centres}
+        shards = []
+        for shard in range(shard_count):
+            replicas = [
+                ids[(shard * SIZE.replicas + copy) % len(ids)]
+                for ids in names.values()
+                for copy in range(SIZE.replicas)
+            ]
+            shards.append(ShardEntry(shard=shard, replicas=replicas))
+            for upstream_id in replicas:
+                self.run.find_upstream(upstream_id).holds.setdefault(version, set()).add(shard)
+        document = IndexDocument(service=SERVICE, version=version, shards=shards)
+        self.publish(DocumentKind.INDEX, SERVICE, str(version), document=document)
+
+    def retire(self, version: int) -> None:
+        """Drop an index version from every upstream; the document follows."""
+        for upstream in self.run.upstreams.values():
+            upstream.holds.pop(version, None)
+        document = replace(build_index(SIZE, 1), version=version, state="retired")
+        self.at(
+            self.run.now_ms + 500.0,
+            lambda: self.publish(DocumentKind.INDEX, SERVICE, str(version), document=document),
+        )
+
+    def replace_instance(self, name: str) -> None:
+        """Start a new process in the place of one that ended."""
+        if not self.run.instances[name].is_alive:
+            self.run.start_instance(self.cluster.settings[name])
+
+    def stop_gracefully(self, name: str) -> None:
+        """Ask a process to stop, as operators do."""
+        host = self.run.instances[name]
+        if host.is_alive and not host.is_frozen:
+            self.run.recorder.note(FAULTS, "stop_asked", instance=name)
+            self.run.deliver(name, StopRequested())
+
+    def cut_between(self, group: set[str], others: set[str]) -> None:
+        """Cut both directions between two groups of ends."""
+        self.run.cut({pair for a in group for b in others for pair in ((a, b), (b, a))})
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/history/checks/cold_load.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/history/checks/cold_load.py
@@ -3,39 +3,44 @@
 from dataclasses import dataclass, field
 
 from geraniumlead_standins.history.check_result import CheckResult
+from geraniumlead_standins.history.event import HistoryEvent
 from geraniumlead_standins.history.history import History
+from geraniumlead_standins.history.reachability import Reachability
 
-NOTICE_ALLOWANCE_NS = 1_000_000_000
-"""An upstream that turns cold without warning is known to nobody at first; what it receives
-in the first second was sent by instances that could not know."""
+NOTICE_ALLOWANCE_NS = 250_000_000
+"""The time in which an instance that saw an upstream cold tells the others: a batching tick
+and the longest one-way delay between regions, with room for a busy machine."""
+
+OWN_NOTICE_NS = 50_000_000
+"""The way of an answer back to the instance that called."""
+
+WHILE_AWAY = "while away"
+"""The reason of a cold start at which the upstream was leaving or its data centre was out:
+whoever brings it back can know, so nothing is allowed for notice."""
 
 
 def check_cold_load(history: History) -> CheckResult:
     """Look for an upstream that has more calls at once than its allowance while it is cold.
 
-    Clock: the upstream's own. A call counts from its ``received`` to its ``ended``. Calls
-    held when the upstream turns cold, and calls of the first ``NOTICE_ALLOWANCE_NS``, are
-    not counted as broken unless the upstream said before that it was cold.
+    Clock: the upstream's own. A call counts from its ``received`` to its ``ended``. An
+    upstream that turns cold without a word is known to nobody until a call ends there:
+    counted are only calls of instances that could know. These are the caller of that call,
+    after ``OWN_NOTICE_NS``, and every other that was joined for ``NOTICE_ALLOWANCE_NS``.
     """
     result = CheckResult("cold load")
-    upstreams: dict[str, _Load] = {}
+    loads: dict[str, _Load] = {}
     for event in history.of("received", "ended", "turned_cold", "turned_warm"):
-        load = upstreams.setdefault(event.who, _Load())
+        load = loads.setdefault(event.who, _Load())
         match event.event:
             case "turned_cold":
-                load.cold_since_ns, load.allowance = event.at_ns, event.allowance
-                load.calls.clear()
+                loads[event.who] = _Load.from_turn(event)
             case "turned_warm":
-                load.cold_since_ns = None
+                load.is_cold = False
             case "ended":
-                load.calls.discard(event.call_id)
-            case "received":
-                load.calls.add(event.call_id)
-                if load.cold_since_ns is None:
-                    continue
+                load.end_call(event)
+            case "received" if load.is_cold:
                 result.operations += 1
-                noticed = event.at_ns >= load.cold_since_ns + NOTICE_ALLOWANCE_NS
-                if noticed and len(load.calls) > load.allowance:
+                if load.add_call(event, history.reachability):
                     result.add(
                         event.at_ns,
                         f"{event.who}: {len(load.calls)} calls at once, bears {load.allowance}",
@@ -45,6 +50,39 @@
 
 @dataclass(slots=True)
 class _Load:
-    cold_since_ns: int | None = None
+    is_cold: bool = False
     allowance: int = 0
+    told_all_ns: int | None = None
+    told_ns: dict[str, int] = field(default_factory=dict)
     calls: set[str] = field(default_factory=set)
+
+    @classmethod
+    def from_turn(cls, event: HistoryEvent) -> "_Load":
+        load = cls(True, event.allowance)
+        if event.reason == WHILE_AWAY:
+            load.told_all_ns = event.at_ns - NOTICE_ALLOWANCE_NS
+        return load
+
+    def end_call(self, event: HistoryEvent) -> None:
+        self.calls.discard(event.call_id)
+        if self.is_cold:
+            self.told_ns.setdefault(event.instance, event.at_ns + OWN_NOTICE_NS)
+            if self.told_all_ns is None:
+                self.told_all_ns = event.at_ns
+
+    def add_call(self, event: HistoryEvent, reachability: Reachability) -> bool:
+        """Return whether the call is one too many of an instance that could know."""
+        if not self._is_told(event, reachability):
+            return False
+        self.calls.add(event.call_id)
+        return len(self.calls) > self.allowance
+
+    def _is_told(self, event: HistoryEvent, reachability: Reachability) -> bool:
+        if event.at_ns >= self.told_ns.get(event.instance, event.at_ns + 1):
+            return True
+        if self.told_all_ns is None:
+            return False
+        told_ns: int | None = self.told_all_ns + NOTICE_ALLOWANCE_NS
+        if event.instance:
+            told_ns = reachability.told_by_ns(event.instance, self.told_all_ns, NOTICE_ALLOWANCE_NS)
+        return told_ns is not None and event.at_ns >= told_ns
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/fake_platform.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/fake_platform.py
@@ -4,15 +4,16 @@
 
 
 class FakePlatform:
-    """Keep documents and revisions; may be down, or serve an old copy."""
+    """Keep documents and revisions; may be down, slow, or serve an old copy."""
 
-    __slots__ = ("_changes", "calls", "is_down", "revision", "stale_at_revision")
+    __slots__ = ("_changes", "calls", "delay_ms", "is_down", "revision", "stale_at_revision")
 
     def __init__(self) -> None:
         self._changes: list[VersionedValue] = []
         self.revision = 0
         self.is_down = False
         self.stale_at_revision: int | None = None
+        self.delay_ms = 0.0
         self.calls = 0
 
     def publish(self, values: dict[str, bytes | None]) -> tuple[VersionedValue, ...]:
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/fake_upstream.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/fake_upstream.py
@@ -6,6 +6,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from msgspec import DecodeError
+from msgspec.json import decode, encode
+
 from geraniumlead.upstreams import (
     Cold,
     ConnectionLost,
@@ -25,12 +28,22 @@
 Answer = Callable[[UpstreamAnswer], None]
 
 
+def read_token(query: bytes) -> str:
+    """Return the token in a query's JSON text; empty when it has none."""
+    try:
+        found = decode(query)
+    except DecodeError:
+        return ""
+    return found.get("token", "") if isinstance(found, dict) else ""
+
+
 @dataclass(slots=True)
 class Running:
     """Remember one call in the upstream."""
 
     subquery: Subquery
     answer: Answer
+    caller: str = ""
     is_cancelled: bool = False
 
 
@@ -40,7 +53,9 @@
 
     While ``cold_answers_left`` is above 0, more than ``cold_allowance`` calls at once make it
     fall over. A query whose text holds ``crash_text`` crashes it. ``holds`` maps index
-    versions to shards. ``log`` gets every receipt, run, crash and fall, for histories.
+    versions to shards; with ``answers_newest`` a shard of a version that is gone is answered
+    from the newest one held. ``log`` gets every receipt, start, run, end, crash and turn, for
+    histories. Each record echoes the query's ``token``.
     """
 
     upstream_id: str
@@ -54,8 +69,11 @@
     holds: dict[int, set[int]] = field(default_factory=dict)
     crash_text: bytes = b"crash"
     cold_answers_left: int = 0
+    cold_after_crash: int = 0
     is_draining: bool = False
     is_silent: bool = False
+    answers_newest: bool = False
+    records_per_shard: int = 2
     down_until_ms: float = 0.0
     fallen: int = 0
     crashes: int = 0
@@ -65,15 +83,19 @@
     _running: list[Running] = field(default_factory=list)
     _waiting: deque[Running] = field(default_factory=deque)
 
-    def receive(self, subquery: Subquery, answer: Answer) -> Running | None:
+    def receive(self, subquery: Subquery, answer: Answer, caller: str = "") -> Running | None:
         """Take a call; ``answer`` is called once, later, unless the upstream is silent."""
         self.received += 1
-        self.log(event="received", call_id=subquery.call_id, request_id=subquery.request_id)
+        if self.queue.now_ms < self.down_until_ms:
+            answer(NotReached("connection refused"))
+            return None
+        call = Running(subquery, answer, caller)
+        self._note("received", call)
         refusal = self._refuse(subquery)
         if refusal is not None:
+            self._note("ended", call)
             answer(refusal)
             return None
-        call = Running(subquery, answer)
         if self.cold_answers_left > 0:
             at_once = len(self._running) + len(self._waiting) + 1
             self.most_while_cold = max(self.most_while_cold, at_once)
@@ -94,21 +116,26 @@
         call.is_cancelled = True
         if call in self._waiting:
             self._waiting.remove(call)
+            self._note("ended", call)
         elif call in self._running:
             self._running.remove(call)
+            self._note("ended", call)
             self._start_waiting()
 
     def restart(self, cold_answers: int) -> None:
         """Lose all calls and come back cold."""
-        self.cold_answers_left = cold_answers
         self._lose_all()
+        self.turn_cold(cold_answers)
+
+    def turn_cold(self, cold_answers: int, reason: str = "") -> None:
+        """Be cold from now on, without a word to anyone."""
+        self.cold_answers_left = cold_answers
+        self.log(event="turned_cold", allowance=self.cold_allowance, reason=reason)
 
     def _refuse(self, subquery: Subquery) -> UpstreamAnswer | None:
-        if self.queue.now_ms < self.down_until_ms:
-            return NotReached("connection refused")
         if self.is_draining:
             return Draining()
-        if subquery.shard not in self.holds.get(subquery.index_version, ()):
+        if self._version_for(subquery) is None:
             return WrongVersion(tuple(sorted(self.holds)))
         if len(self._waiting) >= self.slots * QUEUED_PER_SLOT:
             return Cold() if self.cold_answers_left else Shed(20.0)
@@ -118,6 +145,7 @@
         while self._waiting and len(self._running) < self.slots:
             call = self._waiting.popleft()
             self._running.append(call)
+            self._note("started", call)
             drawn_ms = self.random.lognormvariate(math.log(self.median_ms), self.sigma)
             self.queue.add(
                 self.queue.now_ms + drawn_ms * self.slowdown, lambda call=call: self._finish(call)
@@ -127,24 +155,61 @@
         if call not in self._running:
             return
         self._running.remove(call)
-        subquery = call.subquery
-        self.log(event="ran", call_id=subquery.call_id, request_id=subquery.request_id)
         was_cold = self.cold_answers_left > 0
         self.cold_answers_left = max(0, self.cold_answers_left - 1)
-        text = f'[{{"id":"v{subquery.index_version}-s{subquery.shard}"}}]'.encode()
+        if was_cold and not self.cold_answers_left:
+            self.log(event="turned_warm")
+        records = self._build_records(call.subquery, was_cold)
+        self._note("ran", call, records.index_version, self.records_per_shard)
+        self._note("ended", call)
         if not self.is_silent:
-            call.answer(Records(subquery.index_version, subquery.shard, text, was_cold))
+            call.answer(records)
         self._start_waiting()
 
+    def _version_for(self, subquery: Subquery) -> int | None:
+        if subquery.shard in self.holds.get(subquery.index_version, ()):
+            return subquery.index_version
+        held = [version for version, shards in self.holds.items() if subquery.shard in shards]
+        return max(held) if held and self.answers_newest else None
+
+    def _build_records(self, subquery: Subquery, was_cold: bool) -> Records:
+        version = self._version_for(subquery) or subquery.index_version
+        record = {
+            "shard": subquery.shard,
+            "version": version,
+            "token": read_token(subquery.query),
+            "upstream": self.upstream_id,
+        }
+        return Records(version, subquery.shard, encode([record] * self.records_per_shard), was_cold)
+
+    def _note(
+        self, event: str, call: Running, version: int | None = None, record_count: int = 0
+    ) -> None:
+        subquery = call.subquery
+        self.log(
+            event=event,
+            instance=call.caller,
+            call_id=subquery.call_id,
+            request_id=subquery.request_id,
+            token=read_token(subquery.query),
+            shard=subquery.shard,
+            index_version=version or subquery.index_version,
+            record_count=record_count,
+        )
+
     def _go_down(self, event: str, last: Running) -> None:
-        self.log(event=event, call_id=last.subquery.call_id, request_id=last.subquery.request_id)
+        self._note(event, last)
+        self._note("ended", last)
         self.down_until_ms = self.queue.now_ms + CRASHED_MS
         last.answer(ConnectionLost(event))
         self._lose_all()
+        if event == "crashed" and self.cold_after_crash:
+            self.turn_cold(self.cold_after_crash)
 
     def _lose_all(self) -> None:
         lost = [*self._running, *self._waiting]
         self._running.clear()
         self._waiting.clear()
         for call in lost:
+            self._note("ended", call)
             call.answer(ConnectionLost("reset"))
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/small_cluster.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/small_cluster.py
@@ -54,9 +54,10 @@
         seed: int,
         contract: ContractDocument | None = None,
         timing: TimingSettings | None = None,
+        run: VirtualRun | None = None,
     ) -> "SmallCluster":
-        """Publish the documents, and start upstreams and instances."""
-        run = VirtualRun(seed)
+        """Publish the documents, and start upstreams and instances, in ``run`` if given."""
+        run = run or VirtualRun(seed)
         run.publish({key: encode(value) for key, value in _documents(size, contract).items()})
         for entry, shard in _upstreams(size):
             run.add_upstream(
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/virtual_run.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/virtual_run.py
@@ -53,6 +53,9 @@
         self.instances: dict[str, VirtualInstance] = {}
         self.on_answer: AnswerObserver = lambda name, action, now_ms: None
         self.on_action: Callable[[str, Action, float], None] = lambda name, action, now_ms: None
+        self.on_reply: Callable[[str, CallUpstream, UpstreamAnswer], None] = (
+            lambda name, action, answer: None
+        )
         self._calls: dict[tuple[str, str], tuple[FakeUpstream, Running | None]] = {}
 
     @property
@@ -79,12 +82,24 @@
     def publish(self, values: dict[str, bytes | None]) -> None:
         """Publish documents; watchers that reach the platform hear of them."""
         published = self.platform.publish(values)
-        for name, host in self.instances.items():
-            if host.is_watching and self._is_platform_reachable(name):
+        for name, host in list(self.instances.items()):
+            if not host.is_watching or self.platform.stale_at_revision is not None:
+                continue
+            if not self._is_platform_reachable(name):
+                # The watch is cut off: its client notices the silence and reads again.
+                self._read_platform(name, ReadPlatform(watch=True))
+            else:
                 event = DocumentsReceived(self.platform.revision, published, is_snapshot=False)
                 delay_ms = self.link.draw_delay_ms(PLATFORM, name) or 0.0
+                delay_ms += self.platform.delay_ms
                 self.queue.add(self.now_ms + delay_ms, lambda n=name, e=event: self.deliver(n, e))
 
+    def read_platform_again(self) -> None:
+        """Let every watcher read anew, as after a restart of the platform."""
+        for name, host in list(self.instances.items()):
+            if host.is_alive and host.is_watching:
+                self._read_platform(name, ReadPlatform(watch=True))
+
     def kill(self, name: str) -> None:
         """End a process without notice; its calls are cut off."""
         self.instances[name].is_alive = False
@@ -171,7 +186,7 @@
             if delay_ms is not None:
                 self.queue.add(self.now_ms + delay_ms, lambda: self._end_call(name, action, found))
 
-        running = upstream.receive(action.subquery, answer)
+        running = upstream.receive(action.subquery, answer, name)
         if (name, action.call_id) in self._calls:
             self._calls[name, action.call_id] = (upstream, running)
 
@@ -180,6 +195,7 @@
         if held is None:
             return
         upstream, running = held
+        self.on_reply(name, action, answer)
         if isinstance(answer, TimedOut) and running is not None:
             upstream.cancel(running)
         self.deliver(name, UpstreamAnswered(action.call_id, answer))
@@ -218,7 +234,7 @@
         revision, documents = self.platform.read()
         host.is_watching = watch
         event = DocumentsReceived(revision, documents, is_snapshot=True)
-        delay_ms = self.link.draw_delay_ms(PLATFORM, name) or 0.0
+        delay_ms = (self.link.draw_delay_ms(PLATFORM, name) or 0.0) + self.platform.delay_ms
         self.queue.add(self.now_ms + delay_ms, lambda: self.deliver(name, event))
 
     def _is_platform_reachable(self, name: str) -> bool:
--- a/packages/geraniumlead-standins/tests/standins_tests/history/checks/test_operations.py
+++ b/packages/geraniumlead-standins/tests/standins_tests/history/checks/test_operations.py
@@ -26,25 +26,34 @@
 
 
 class ColdLoadTests(TestCase):
-    cold = at(0.0, "u0", "turned_cold", allowance=1)
+    begin = (start_process(), at(0.0, "u0", "turned_cold", allowance=1))
+    seen = (
+        call(10.0, call_id="c0"),
+        at(12.0, "u0", "ended", call_id="c0", instance="a"),
+    )
 
     def test_two_calls_at_once_are_caught(self):
-        broken = count_broken("cold load", self.cold, call(2_000.0), call(2_001.0, call_id="c2"))
-        self.assertEqual(1, broken)
+        calls = (call(2_000.0), call(2_001.0, call_id="c2"))
+        self.assertEqual(1, count_broken("cold load", *self.begin, *self.seen, *calls))
 
     def test_one_after_the_other_is_let_through(self):
-        ended = at(2_001.0, "u0", "ended", call_id="c1")
+        ended = at(2_001.0, "u0", "ended", call_id="c1", instance="a")
         calls = (call(2_000.0), ended, call(2_002.0, call_id="c2"))
-        self.assertEqual(0, count_broken("cold load", self.cold, *calls))
+        self.assertEqual(0, count_broken("cold load", *self.begin, *self.seen, *calls))
 
-    def test_calls_on_the_way_when_it_turned_cold_unwarned_are_let_through(self):
-        calls = (call(1.0), call(2.0, call_id="c2"))
-        self.assertEqual(0, count_broken("cold load", self.cold, *calls))
+    def test_a_burst_before_anyone_could_know_is_let_through(self):
+        calls = (call(2_000.0), call(2_001.0, call_id="c2"))
+        self.assertEqual(0, count_broken("cold load", *self.begin, *calls))
+
+    def test_a_burst_on_an_upstream_that_came_back_cold_is_caught(self):
+        back = at(0.0, "u0", "turned_cold", allowance=1, reason="while away")
+        calls = (call(2_000.0), call(2_001.0, call_id="c2"))
+        self.assertEqual(1, count_broken("cold load", start_process(), back, *calls))
 
     def test_a_warm_upstream_takes_more(self):
         warm = at(1_500.0, "u0", "turned_warm")
         calls = (call(1_400.0), call(2_000.0, call_id="c2"), call(2_001.0, call_id="c3"))
-        self.assertEqual(0, count_broken("cold load", self.cold, warm, *calls))
+        self.assertEqual(0, count_broken("cold load", *self.begin, *self.seen, warm, *calls))
 
 
 class WithdrawalTests(TestCase):
