--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -32,6 +32,7 @@
     SubqueryResultBatch,
     TicketedAnswer,
     TicketedRequest,
+    UpstreamNotice,
 )
 from geraniumlead.settings import InstanceSettings
 
@@ -60,6 +61,7 @@
 
     def handle(self, event: Event, now_ms: float) -> list[Action]:
         """Take in one event and return what follows from it, in order."""
+        self.parts.cold_start.tick(now_ms)
         match event:
             case QueryArrived(request=request):
                 self._requests.take_request(request, now_ms)
@@ -77,8 +79,9 @@
                 self._configuration.take_silence(event)
             case StopRequested():
                 self._heartbeats.begin_stop(now_ms)
-            case TimerFired():
-                pass
+            case TimerFired(wall_now_s=wall_now_s):
+                if wall_now_s is not None:
+                    self.parts.admission.observe_wall_clock(wall_now_s, now_ms)
         self._run_timers(now_ms)
         return self._take_actions()
 
@@ -89,6 +92,7 @@
             self.parts.coordinator.next_wake_ms(),
             self.parts.admission.next_wake_ms(),
             self.parts.batcher.next_wake_ms(),
+            self.parts.dispatcher.next_wake_ms(),
             self.parts.tickets.next_wake_ms(),
         ]
         return min(time for time in times if time is not None)
@@ -119,6 +123,8 @@
         match message:
             case Heartbeat() | Goodbye():
                 self._configuration.take_sign_of_life(sender_id, message, now_ms)
+                if isinstance(message, Heartbeat):
+                    self.parts.admission.hear(sender_id, message.demand, now_ms)
             case DocumentsWanted():
                 self._configuration.give_documents(sender_id, message)
             case DocumentsUpdate():
@@ -129,6 +135,8 @@
                 self._calls.take_results(message, now_ms)
             case CancelBatch(call_ids=call_ids):
                 self._calls.cancel(call_ids, now_ms)
+            case UpstreamNotice():
+                self._calls.take_notice(message, now_ms)
             case TicketedRequest():
                 self._requests.take_forwarded(sender_id, message, now_ms)
             case TicketedAnswer():
@@ -136,6 +144,7 @@
 
     def _run_timers(self, now_ms: float) -> None:
         self._calls.run_coordination(self.parts.coordinator.expire(now_ms), now_ms)
+        self._calls.wake_dispatch(now_ms)
         self._requests.take_ready(now_ms)
         self._requests.expire_forwarded(now_ms)
         self._heartbeats.beat_if_due(now_ms)
