--- a/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/virtual_run.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/virtual_run.py
@@ -58,6 +58,9 @@
         self.on_answer: AnswerObserver = lambda name, action, now_ms: None
         self.on_action: Callable[[str, Action, float], None] = lambda name, action, now_ms: None
         self._users: dict[str, set[str]] = defaultdict(set)
+        self.on_reply: Callable[[str, CallUpstream, UpstreamAnswer], None] = (
+            lambda name, action, answer: None
+        )
         self._calls: dict[tuple[str, str], tuple[FakeUpstream, Running | None]] = {}
 
     @property
@@ -87,13 +90,25 @@
         before = self.platform.revision
         published = self.platform.publish(values)
         revision = self.platform.revision
-        for name, host in self.instances.items():
-            if host.is_watching and self._is_platform_reachable(name):
+        for name, host in list(self.instances.items()):
+            if not host.is_watching or self.platform.stale_at_revision is not None:
+                continue
+            if not self._is_platform_reachable(name):
+                # The watch is cut off: its client notices the silence and reads again.
+                self._read_platform(name, ReadPlatform(watch=True))
+            else:
                 event = DocumentsReceived(revision, published, False, above_revision=before)
                 host.seen_revision = revision
                 delay_ms = self.link.draw_delay_ms(PLATFORM, name) or 0.0
+                delay_ms += self.platform.delay_ms
                 self.queue.add(self.now_ms + delay_ms, lambda n=name, e=event: self.deliver(n, e))
 
+    def read_platform_again(self) -> None:
+        """Let every watcher read anew, as after a restart of the platform."""
+        for name, host in list(self.instances.items()):
+            if host.is_alive and host.is_watching:
+                self._read_platform(name, ReadPlatform(watch=True))
+
     def kill(self, name: str) -> None:
         """End a process without notice; its calls are cut off."""
         self.instances[name].is_alive = False
@@ -197,7 +212,7 @@
         if upstream.restarts != restarts:
             answer(ConnectionLost("reset"))
             return
-        running = upstream.receive(action.subquery, answer)
+        running = upstream.receive(action.subquery, answer, name)
         if (name, action.call_id) in self._calls:
             self._calls[name, action.call_id] = (upstream, running)
 
@@ -206,6 +221,7 @@
         if held is None:
             return
         upstream, running = held
+        self.on_reply(name, action, answer)
         if isinstance(answer, TimedOut) and running is not None:
             upstream.cancel(running)
         self.deliver(name, UpstreamAnswered(action.call_id, answer))
@@ -249,7 +265,7 @@
         host.is_watching = action.watch
         host.seen_revision = revision
         event = DocumentsReceived(revision, documents, True, action.read_number)
-        delay_ms = self.link.draw_delay_ms(PLATFORM, name) or 0.0
+        delay_ms = (self.link.draw_delay_ms(PLATFORM, name) or 0.0) + self.platform.delay_ms
         self.queue.add(self.now_ms + delay_ms, lambda: self.deliver(name, event))
         if action.watch:
             check_ms = self.now_ms + WATCH_CHECK_MS
