--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/load_run.py
@@ -0,0 +1,147 @@
+"""Send streams of callers to a small cluster and collect what they receive."""
+
+from collections.abc import Callable
+from itertools import count
+
+from msgspec.json import encode
+
+from geraniumlead.actions import AnswerCaller
+from geraniumlead.documents import ContractDocument, DocumentKind, document_key
+from geraniumlead.events import QueryArrived
+from geraniumlead.instance import Instance
+from geraniumlead.requests import CallerRequest, NotRun
+from geraniumlead_standins.bench.caller_stream import AfterRefusal, CallerStream
+from geraniumlead_standins.bench.result_row import ResultRow
+from geraniumlead_standins.bench.stream_result import StreamResult
+from geraniumlead_standins.virtual.small_cluster import ClusterSize, SmallCluster
+
+WARM_UP_MS = 3_000.0
+PERSISTENT_RETURN_MS = 1.0
+
+
+class LoadRun:
+    """Hold one virtual run, its streams and their results.
+
+    Results count requests that arrive after ``WARM_UP_MS``, in which limits find their level.
+    """
+
+    def __init__(
+        self,
+        size: ClusterSize,
+        seed: int,
+        contracts: list[ContractDocument],
+        prepare: Callable[[Instance], None] = lambda instance: None,
+    ) -> None:
+        self.cluster = SmallCluster.from_size(size, seed, contracts[0])
+        self.run = self.cluster.run
+        for contract in contracts[1:]:
+            key = document_key(DocumentKind.CONTRACT, contract.customer)
+            self.run.publish({key: encode(contract)})
+        for host in self.run.instances.values():
+            prepare(host.instance)
+        self.results: dict[str, StreamResult] = {}
+        self._streams: dict[str, tuple[CallerStream, int, float]] = {}
+        self._serial = count()
+        self._end_ms = 0.0
+        self.run.on_answer = self._take_answer
+
+    def add(self, stream: CallerStream) -> None:
+        """Schedule the first request of a stream; each one schedules the next."""
+        self.results.setdefault(stream.name, StreamResult())
+        self._end_ms = max(self._end_ms, stream.end_ms)
+        if stream.rate_per_s > 0.0:
+            self._schedule(stream, stream.start_ms)
+
+    def finish(self, settle_ms: float = 5_000.0) -> None:
+        """Run until every request has its outcome."""
+        self.run.queue.run_until(self._end_ms + settle_ms)
+
+    def rows(self, pattern: str, variant: str, **more: float) -> list[ResultRow]:
+        """Return a row for each stream."""
+        fallen = sum(upstream.fallen for upstream in self.run.upstreams.values())
+        crashes = sum(upstream.crashes for upstream in self.run.upstreams.values())
+        measured_s = (self._end_ms - WARM_UP_MS) / 1_000.0
+        return [
+            self._row(pattern, variant, name, found, measured_s, fallen + crashes, more)
+            for name, found in self.results.items()
+        ]
+
+    def _row(self, pattern, variant, name, found, measured_s, fallen, more) -> ResultRow:
+        answered = len(found.latencies_ms)
+        first = found.subqueries - found.extra_subqueries
+        return ResultRow(
+            pattern=pattern,
+            variant=variant,
+            class_name=name,
+            p50_ms=_rounded(found.quantile_ms(0.5)),
+            p99_ms=_rounded(found.quantile_ms(0.99)),
+            p999_ms=_rounded(found.quantile_ms(0.999)),
+            coverage=round(sum(found.coverage) / answered, 5) if answered else None,
+            goodput_per_s=round(answered / measured_s, 1),
+            refused=sum(found.refused.values()),
+            extra_load_share=round(found.extra_subqueries / first, 5) if first else 0.0,
+            fallen=fallen,
+            refused_by_reason=dict(found.refused),
+            more={
+                "sent": float(found.sent),
+                "failed": float(found.failed),
+                "past_deadline": float(found.late),
+                "longest_refusal_ms": round(max(found.refusal_ms, default=0.0), 2),
+                **more,
+            },
+        )
+
+    def _schedule(self, stream: CallerStream, from_ms: float) -> None:
+        random = self.run.random
+        at_ms = from_ms + random.expovariate(stream.rate_per_s) * 1_000.0
+        if at_ms < stream.end_ms:
+            self.run.queue.add(at_ms, lambda: self._arrive(stream, at_ms))
+
+    def _arrive(self, stream: CallerStream, at_ms: float) -> None:
+        self._schedule(stream, at_ms)
+        random = self.run.random
+        self._send(stream, stream.key_of(random), stream.query_of(random), 0)
+
+    def _send(self, stream: CallerStream, key: str | None, query: bytes, returns: int) -> None:
+        now_ms = self.run.now_ms
+        request = CallerRequest(
+            request_id=f"q{next(self._serial)}",
+            customer=stream.customer,
+            class_name=stream.class_name,
+            query=query,
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + stream.deadline_ms,
+            least_coverage=1.0,
+            key=key,
+            attempt=returns + 1,
+        )
+        self._streams[request.request_id] = (stream, key, query, returns, now_ms)
+        if now_ms >= WARM_UP_MS:
+            self.results[stream.name].sent += 1
+        names = list(self.cluster.settings)
+        self.run.deliver(self.run.random.choice(names), QueryArrived(request))
+
+    def _take_answer(self, name: str, action: AnswerCaller, now_ms: float) -> None:
+        stream, key, query, returns, sent_ms = self._streams.pop(action.request_id)
+        found = self.results[stream.name]
+        if sent_ms >= WARM_UP_MS:
+            is_late = now_ms > sent_ms + stream.deadline_ms + 0.001
+            found.add(action.outcome, now_ms - sent_ms, is_late)
+            found.subqueries += action.subqueries
+            found.extra_subqueries += action.extra_subqueries
+        if not isinstance(action.outcome, NotRun) or returns >= stream.most_returns:
+            return
+        match stream.after_refusal:
+            case AfterRefusal.RETURN_AT_ONCE:
+                wait_ms = PERSISTENT_RETURN_MS
+            case AfterRefusal.HONOUR_TIME:
+                wait_ms = action.outcome.retry_after_ms
+            case _:
+                return
+        if now_ms + wait_ms < stream.end_ms:
+            again = lambda: self._send(stream, key, query, returns + 1)  # noqa: E731
+            self.run.queue.add(now_ms + wait_ms, again)
+
+
+def _rounded(value: float | None) -> float | None:
+    return None if value is None else round(value, 2)
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/stream_result.py
@@ -0,0 +1,41 @@
+"""Collect what the callers of one stream received."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from geraniumlead.requests import Answered, NotRun, Outcome
+
+
+@dataclass(slots=True)
+class StreamResult:
+    """Hold latencies of answers and the refusals by reason, after the warm-up."""
+
+    sent: int = 0
+    latencies_ms: list[float] = field(default_factory=list)
+    coverage: list[float] = field(default_factory=list)
+    refusal_ms: list[float] = field(default_factory=list)
+    refused: Counter = field(default_factory=Counter)
+    failed: int = 0
+    late: int = 0
+    subqueries: int = 0
+    extra_subqueries: int = 0
+
+    def add(self, outcome: Outcome, took_ms: float, is_late: bool) -> None:
+        """Count one outcome."""
+        match outcome:
+            case Answered(coverage=coverage):
+                self.latencies_ms.append(took_ms)
+                self.coverage.append(coverage.share)
+            case NotRun(reason=reason):
+                self.refused[str(reason)] += 1
+                self.refusal_ms.append(took_ms)
+            case _:
+                self.failed += 1
+        self.late += is_late
+
+    def quantile_ms(self, share: float) -> float | None:
+        """Return a quantile of the answers' latency; None without answers."""
+        ordered = sorted(self.latencies_ms)
+        if not ordered:
+            return None
+        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- a/packages/geraniumlead/src/geraniumlead/admission/concurrency_limit.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/concurrency_limit.py
@@ -15,10 +15,14 @@
 MOST_SHRINK = 0.7
 
 SATURATED_SHARE = 0.5
-PROBE_EVERY_MS = 15_000.0
 PROBE_SHARE = 0.5
-"""Under lasting load nobody sees the unloaded latency; half the limit for one window in
-150 shows it again, at a cost of a third of a percent of the capacity."""
+FIRST_PROBE_MS = 500.0
+MOST_PROBE_MS = 15_000.0
+NEWS_SHARE = 0.9
+"""Under lasting load nobody sees the unloaded latency; half the limit for one window shows
+it. A probe that finds less than nine tenths of the known latency is news, and the next one
+follows soon; each that finds none doubles the time, up to one window in 150, a third of a
+percent of the capacity."""
 
 
 class ConcurrencyLimit:
@@ -41,8 +45,9 @@
         "_mean_ms",
         "_peak",
         "_probe_due_ms",
+        "_probe_every_ms",
         "_probing",
-        "_ratio_sum",
+        "_latencies",
         "_samples",
         "_value",
     )
@@ -51,13 +56,14 @@
         self._value = FIRST_LIMIT
         self._baselines: dict[str, float] = {}
         self._closes_ms = 0.0
-        self._ratio_sum: dict[str, list[float]] = {}
+        self._latencies: dict[str, list[float]] = {}
         self._samples = 0
         self._latency_sum = 0.0
         self._mean_ms = 0.0
         self._peak = 0.0
         self._probing = False
-        self._probe_due_ms = PROBE_EVERY_MS
+        self._probe_every_ms = FIRST_PROBE_MS
+        self._probe_due_ms = FIRST_PROBE_MS
 
     @property
     def value(self) -> float:
@@ -78,7 +84,7 @@
 
     def observe(self, kind: str, latency_ms: float, now_ms: float) -> None:
         """Take in the latency of one request that was served."""
-        self._ratio_sum.setdefault(kind, []).append(latency_ms)
+        self._latencies.setdefault(kind, []).append(latency_ms)
         self._samples += 1
         self._latency_sum += latency_ms
         if self._samples >= LEAST_SAMPLES and now_ms >= self._closes_ms:
@@ -89,34 +95,39 @@
         self._value = max(LEAST_LIMIT, self._value * 0.98)
 
     def _close_window(self, now_ms: float) -> None:
-        ratio = self._take_ratio()
+        ratio, news = self._take_ratio()
         window_ms = self._latency_sum / self._samples
         self._mean_ms = window_ms if not self._mean_ms else 0.7 * self._mean_ms + 0.3 * window_ms
         was_full = self._peak >= 0.9 * self.value
-        if not self._probing:
+        if self._probing:
+            found_news = news < NEWS_SHARE
+            longer_ms = min(MOST_PROBE_MS, 2.0 * self._probe_every_ms)
+            self._probe_every_ms = FIRST_PROBE_MS if found_news else longer_ms
+            self._probe_due_ms = now_ms + self._probe_every_ms
+            self._probing = False
+        else:
             self._adapt(ratio, was_full)
-        self._probing = was_full and now_ms >= self._probe_due_ms and not self._probing
-        if self._probing or not was_full:
-            self._probe_due_ms = now_ms + PROBE_EVERY_MS
+            if not was_full:
+                self._probe_due_ms = now_ms + self._probe_every_ms
+            self._probing = was_full and now_ms >= self._probe_due_ms
         self._samples, self._latency_sum, self._peak = 0, 0.0, 0.0
         self._closes_ms = now_ms + WINDOW_MS
 
-    def _take_ratio(self) -> float:
+    def _take_ratio(self) -> tuple[float, float]:
         is_light = self._peak <= SATURATED_SHARE * self._value
-        weighted = 0.0
-        for kind, latencies in self._ratio_sum.items():
+        weighted, news = 0.0, 1.0
+        for kind, latencies in self._latencies.items():
             mean_ms = sum(latencies) / len(latencies)
-            known_ms = self._baselines.get(kind)
-            if known_ms is None:
-                known_ms = mean_ms
-            elif mean_ms < known_ms:
-                known_ms += 0.3 * (mean_ms - known_ms)
+            known_ms = self._baselines.get(kind, mean_ms)
+            news = min(news, mean_ms / max(known_ms, 0.001))
+            if mean_ms < known_ms:
+                known_ms += (1.0 if self._probing else 0.3) * (mean_ms - known_ms)
             elif is_light:
                 known_ms += 0.1 * (mean_ms - known_ms)
             self._baselines[kind] = known_ms
             weighted += len(latencies) * mean_ms / max(known_ms, 0.001)
-        self._ratio_sum = {}
-        return weighted / self._samples
+        self._latencies = {}
+        return weighted / self._samples, news
 
     def _adapt(self, ratio: float, was_full: bool) -> None:
         step = min(MOST_GROWTH, max(MOST_SHRINK, TOLERANCE / ratio))
--- a/packages/geraniumlead/src/geraniumlead/admission/controller.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/controller.py
@@ -24,6 +24,11 @@
 EXPIRED_RETRY_MS = 30_000.0
 """An expired contract comes back only when an operator renews it."""
 
+SERVICE_MARGIN = 2.5
+MOST_MARGIN_SHARE = 0.5
+"""A request that starts with just the mean service time left fails half of the time, and its
+subqueries were for nothing; with 2.5 times the mean left about one in a hundred fails."""
+
 OWN_QUEUE_FACTOR = 1.0
 """One contract may hold as many places of the queue as are still free, so alone it gets
 half of them, and another contract always finds room (Choudhury and Hahne, 1998)."""
@@ -217,7 +222,7 @@
         if reason is None and not self._has_queue_room(pool, item):
             reason = RefusalReason.QUEUE_FULL
         if reason is not None:
-            drain_ms = pool.drain_ms(pool.queue.cost_before(item), item.priority, now_ms)
+            drain_ms = pool.wait_ms(item, now_ms)
             return self._refuse(request, reason, drain_ms)
         self._hold(item, pool)
         pool.queue.push(item)
@@ -245,7 +250,11 @@
             weight=gate.contract.weight,
             cost=1.0 if request.key is None else 1.0 / shards,
             long_running=long_running,
-            latest_start_ms=request.deadline_ms - pool.limit.baseline_ms(kind),
+            latest_start_ms=request.deadline_ms
+            - min(
+                SERVICE_MARGIN * pool.limit.baseline_ms(kind),
+                MOST_MARGIN_SHARE * (request.deadline_ms - request.arrived_ms),
+            ),
             kind=kind,
         )
 
@@ -254,7 +263,7 @@
         while (item := pool.queue.pop_hopeless(now_ms)) is not None:
             self._queued -= 1
             self._forget(item.request.request_id)
-            drain_ms = pool.drain_ms(pool.queue.cost_before(item), item.priority, now_ms)
+            drain_ms = pool.wait_ms(item, now_ms)
             given_up.append(self._refuse(item.request, RefusalReason.CANNOT_END_IN_TIME, drain_ms))
         return given_up
 
--- a/packages/geraniumlead/src/geraniumlead/admission/service_pool.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/service_pool.py
@@ -11,6 +11,10 @@
 """Part of the limit that long-running requests may take: the rest turns over in
 milliseconds for the short ones, which otherwise would wait for the end of a long one."""
 
+MOST_WAIT_SHARE = 0.5
+"""Part of a request's time that it is expected to wait at most: the estimate may be wrong by
+a factor of two before requests that were let in have to be given up."""
+
 RATE_TIME_CONSTANT_MS = 500.0
 
 
@@ -68,21 +72,40 @@
         """Estimate the time in which the service serves ``cost`` of a priority.
 
         Higher priorities take their recent rate first; what they leave, and at least the
-        floor, is for this one. The capacity is the larger of the recent rate and what the
-        limit lets through: after a quiet time the recent rate says nothing.
+        floor, is for this one.
         """
-        capacity = max(self._drained.per_s(now_ms), self.limit.capacity_per_s())
+        capacity = self._capacity_per_s(now_ms)
         if capacity <= 0.0:
             return 0.0
-        higher = sum(
-            meter.per_s(now_ms) for level, meter in self._started.items() if level < priority
-        )
-        left = max(FLOOR_SHARE * capacity, capacity - higher)
+        left = max(FLOOR_SHARE * capacity, capacity - self._higher_per_s(priority, now_ms))
         return 1000.0 * cost / left
 
+    def wait_ms(self, item: WaitingRequest, now_ms: float) -> float:
+        """Estimate how long a new request would wait.
+
+        It waits for what stands before it, but by the floor at most for its own class.
+        """
+        own, higher = self.queue.cost_before(item)
+        capacity = self._capacity_per_s(now_ms)
+        if capacity <= 0.0:
+            return 0.0
+        floor_ms = 1000.0 * own / (FLOOR_SHARE * capacity)
+        left = capacity - self._higher_per_s(item.priority, now_ms)
+        if left <= FLOOR_SHARE * capacity:
+            return floor_ms
+        return min(floor_ms, 1000.0 * (own + higher) / left)
+
     def refuse(self, item: WaitingRequest, now_ms: float) -> RefusalReason | None:
         """Return why a new request may not wait; None when it may."""
-        wait_ms = self.drain_ms(self.queue.cost_before(item), item.priority, now_ms)
-        if now_ms + wait_ms > item.latest_start_ms:
+        if self.wait_ms(item, now_ms) > MOST_WAIT_SHARE * (item.latest_start_ms - now_ms):
             return RefusalReason.CANNOT_END_IN_TIME
         return None
+
+    def _capacity_per_s(self, now_ms: float) -> float:
+        # After a quiet time the recent rate says nothing, so the limit's counts too.
+        return max(self._drained.per_s(now_ms), self.limit.capacity_per_s())
+
+    def _higher_per_s(self, priority: int, now_ms: float) -> float:
+        return sum(
+            meter.per_s(now_ms) for level, meter in self._started.items() if level < priority
+        )
--- a/packages/geraniumlead/src/geraniumlead/admission/service_queue.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/service_queue.py
@@ -73,7 +73,7 @@
 
     def pop_hopeless(self, now_ms: float) -> WaitingRequest | None:
         """Remove and return a request that cannot end in time any more."""
-        while self._by_latest_start and self._by_latest_start[0][0] < now_ms:
+        while self._by_latest_start and self._by_latest_start[0][0] <= now_ms:
             _, _, item = heappop(self._by_latest_start)
             if not item.is_gone:
                 self.remove(item)
@@ -113,13 +113,11 @@
             for key, level in self._levels.items()
         )
 
-    def cost_before(self, item: WaitingRequest) -> float:
-        """Estimate the cost that is served before a new request."""
+    def cost_before(self, item: WaitingRequest) -> tuple[float, float]:
+        """Estimate the cost of its own level, and of higher ones, before a new request."""
         higher = sum(level.cost for key, level in self._levels.items() if key[0] < item.priority)
         level = self._levels.get((item.priority, item.long_running))
-        if level is None:
-            return higher
-        return higher + level.cost_before(item)
+        return (0.0 if level is None else level.cost_before(item)), higher
 
     def _sweep(self) -> None:
         # Served requests leave entries behind; they go when they outnumber the waiting.
