--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_client/client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_client/client.py
@@ -35,16 +35,21 @@
         self._report = report
         self._random = random
         self._task: asyncio.Task | None = None
+        self._reads: dict[int, asyncio.Task] = {}
         self._session: ClientSession | None = None
 
-    def watch(self) -> None:
-        """Start to read and watch, if that does not run already."""
-        if self._task is None:
-            self._task = asyncio.get_running_loop().create_task(self._follow())
+    def watch(self, read_number: int) -> None:
+        """Read anew and watch from there; a watch that runs is replaced."""
+        self.stop()
+        self._task = asyncio.get_running_loop().create_task(self._follow(read_number))
 
-    def read_once(self) -> None:
-        """Make one full read."""
-        self._once = asyncio.get_running_loop().create_task(self._read_and_report())
+    def read_once(self, read_number: int) -> None:
+        """Make one full read, unless one with this number runs."""
+        if read_number in self._reads:
+            return
+        task = asyncio.get_running_loop().create_task(self._read_and_report(read_number))
+        self._reads[read_number] = task
+        task.add_done_callback(lambda _: self._reads.pop(read_number, None))
 
     def stop(self) -> None:
         """End the watch."""
@@ -58,14 +63,14 @@
         if self._session is not None:
             await self._session.close()
 
-    async def _follow(self) -> None:
+    async def _follow(self, read_number: int) -> None:
         pause_s = FIRST_PAUSE_S
         attempt = 0
         while True:
             address = self._addresses[attempt % len(self._addresses)]
             attempt += 1
             try:
-                revision = await self._read(address)
+                revision = await self._read(address, read_number)
                 pause_s = FIRST_PAUSE_S
                 await self._watch(address, revision + 1)
             except (ClientError, OSError, TimeoutError, DecodeError, ValueError) as error:
@@ -74,14 +79,14 @@
             await asyncio.sleep(pause_s * (0.5 + self._random.random()))
             pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
 
-    async def _read_and_report(self) -> None:
+    async def _read_and_report(self, read_number: int) -> None:
         address = self._random.choice(self._addresses)
         try:
-            await self._read(address)
+            await self._read(address, read_number)
         except (ClientError, OSError, TimeoutError, DecodeError) as error:
             self._report(PlatformSilent(f"{address}: {type(error).__name__}"))
 
-    async def _read(self, address: str) -> int:
+    async def _read(self, address: str, read_number: int) -> int:
         async with self._client().post(
             f"http://{address}/v3/kv/range",
             json=prefix_range(),
@@ -91,7 +96,7 @@
             found = _RANGE.decode(await response.read())
         revision = int(found.header.revision)
         documents = tuple(item.to_versioned() for item in found.kvs)
-        self._report(DocumentsReceived(revision, documents, is_snapshot=True))
+        self._report(DocumentsReceived(revision, documents, True, read_number))
         return revision
 
     async def _watch(self, address: str, from_revision: int) -> None:
--- a/packages/geraniumlead/src/geraniumlead/instance/parts.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/parts.py
@@ -4,10 +4,12 @@
 
 from geraniumlead.actions import Action, SendToPeer
 from geraniumlead.admission import AdmissionController
+from geraniumlead.cold_start import ColdStartGuard, ViewConfirmation
 from geraniumlead.configuration import DocumentStore
 from geraniumlead.coordination import QueryCoordinator
 from geraniumlead.dispatch import Dispatcher
 from geraniumlead.documents import TrafficClass
+from geraniumlead.freshness import ViewFreshness
 from geraniumlead.instance.batcher import PeerBatcher
 from geraniumlead.instance.lifecycle import Lifecycle
 from geraniumlead.instance.ticket_desk import TicketDesk
@@ -30,8 +32,10 @@
         "actions",
         "admission",
         "batcher",
+        "cold_start",
         "coordinator",
         "dispatcher",
+        "freshness",
         "incarnation",
         "lifecycle",
         "membership",
@@ -42,7 +46,7 @@
         "tickets",
     )
 
-    def __init__(self, settings: InstanceSettings, random: Random) -> None:
+    def __init__(self, settings: InstanceSettings, random: Random, now_ms: float) -> None:
         instance_id, data_centre = settings.instance_id, settings.data_centre
         self.settings = settings
         self.random = random
@@ -51,10 +55,15 @@
         self.store = DocumentStore()
         self.membership = Membership(instance_id, data_centre, settings.timing.peer_timeout_ms)
         self.lifecycle = Lifecycle(settings.timing)
+        self.freshness = ViewFreshness(settings.timing.pause_gap_ms, random, now_ms)
         self.admission = AdmissionController(settings.limits, instance_id, random)
-        self.router = Router(instance_id, data_centre, self.membership, random)
+        confirmation = ViewConfirmation(self.membership, self.store)
+        self.cold_start = ColdStartGuard(instance_id, settings.timing, confirmation)
+        self.dispatcher = Dispatcher(instance_id, self.cold_start)
+        self.router = Router(
+            instance_id, data_centre, self.membership, self.dispatcher, self.cold_start, random
+        )
         self.coordinator = QueryCoordinator(f"{instance_id}.{self.incarnation}.", self.router)
-        self.dispatcher = Dispatcher(instance_id)
         self.batcher = PeerBatcher(settings.timing.batch_tick_ms)
         self.tickets = TicketDesk.from_settings(settings, self.incarnation, random)
 
@@ -64,6 +73,11 @@
         in_service = self.store.view.is_data_centre_in(self.settings.data_centre)
         return self.lifecycle.is_serving and in_service
 
+    @property
+    def is_configured(self) -> bool:
+        """Return whether any documents are in force."""
+        return self.store.revision > 0
+
     def class_of(self, customer: str, class_name: str) -> TrafficClass | None:
         """Return a class of a contract in force."""
         contract = self.store.view.contracts.get(customer)
