Bound the heartbeats, judge peers by the path in use, and stop without cutting off peers

Now: 12 local and 4 remote peers a beat from a shuffled ring. In a group that every beat reaches, silence makes a peer unreachable; in a larger one, work or a probe that nothing is heard after. Goodbye holds for its incarnation and travels in heartbeats too. The stop waits for peers' subqueries, forwarded requests, waiting repeats, queued and held requests. Ruled out: gossip of ages (needs equal lists on both ends, tells nothing of one-way cuts), all local peers at a lower rate (detection in minutes at 230 instances).

--- a/packages/geraniumlead/src/geraniumlead/admission/controller.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/controller.py
@@ -62,6 +62,11 @@
         self._shard_counts: dict[str, int] = {}
         self._queued = 0
 
+    @property
+    def queued_requests(self) -> int:
+        """Return the number of requests that wait for a place."""
+        return self._queued
+
     def update(self, view: ClusterView) -> None:
         """Take over the contracts in force and the list of instances."""
         self._view = view
--- a/packages/geraniumlead/src/geraniumlead/instance/call_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/call_handler.py
@@ -6,7 +6,13 @@
 from geraniumlead.events import UpstreamAnswered
 from geraniumlead.instance.held_steps import HeldSteps
 from geraniumlead.instance.parts import InstanceParts
-from geraniumlead.peers import SubqueryBatch, SubqueryResult, SubqueryResultBatch, TicketedAnswer
+from geraniumlead.peers import (
+    Goodbye,
+    SubqueryBatch,
+    SubqueryResult,
+    SubqueryResultBatch,
+    TicketedAnswer,
+)
 from geraniumlead.requests import CallerRequest, Outcome
 from geraniumlead.routing import Route
 from geraniumlead.upstreams import Draining, Shed
@@ -17,11 +23,17 @@
 class CallHandler:
     """Move subqueries between coordinator, dispatcher, upstreams and peers."""
 
-    __slots__ = ("_held", "_parts")
+    __slots__ = ("_held", "_parts", "_peer_calls")
 
     def __init__(self, parts: InstanceParts) -> None:
         self._parts = parts
         self._held = HeldSteps()
+        self._peer_calls: set[str] = set()
+
+    @property
+    def peer_call_count(self) -> int:
+        """Return how many subqueries of peers wait or run here."""
+        return len(self._peer_calls)
 
     def take_answer(self, event: UpstreamAnswered, now_ms: float) -> None:
         """Take in the end of a call to an upstream."""
@@ -33,7 +45,11 @@
         if not self._parts.freshness.may_send:
             self._shed_subqueries(sender_id, batch, now_ms)
             return
+        if self._parts.lifecycle.is_stopping:
+            # Peers of other data centres learn of the stop when they send work.
+            self._parts.send(sender_id, Goodbye(self._parts.incarnation))
         for subquery in batch.subqueries:
+            self._peer_calls.add(subquery.call_id)
             steps = self._parts.dispatcher.submit(subquery, sender_id, now_ms)
             self.run_dispatch(steps, now_ms)
 
@@ -46,6 +62,7 @@
     def cancel(self, call_ids: tuple[str, ...], now_ms: float) -> None:
         """Cancel a peer's subqueries."""
         for call_id in call_ids:
+            self._peer_calls.discard(call_id)
             self.run_dispatch(self._parts.dispatcher.cancel(call_id, "", now_ms), now_ms)
 
     def hold_unsent(self, now_ms: float) -> None:
@@ -111,6 +128,7 @@
                     ended = parts.coordinator.finish_call(call_id, answer, now_ms)
                     self.run_coordination(ended, now_ms)
                 case EndCall(origin=origin, call_id=call_id, answer=answer):
+                    self._peer_calls.discard(call_id)
                     parts.batcher.add_result(origin, SubqueryResult(call_id, answer), now_ms)
 
     def answer(
--- a/packages/geraniumlead/src/geraniumlead/instance/heartbeat_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/heartbeat_handler.py
@@ -1,11 +1,16 @@
-"""Send signs of life, and end the process when its graceful stop is done."""
+"""Send signs of life, and ask for those of silent peers."""
 
 from msgspec.structs import replace
 
-from geraniumlead.actions import StopNow
 from geraniumlead.admission import EVERY_PEER
 from geraniumlead.instance.parts import InstanceParts
-from geraniumlead.peers import Goodbye, Heartbeat
+from geraniumlead.peers import Heartbeat, Probe
+
+MOST_OWN_REPORTS = 16
+"""Peers that get a beat because a share is lent to them, beyond those whose turn it is."""
+
+ANY_NONCE = 0
+"""The nonce of a probe whose answer only has to show that the peer lives."""
 
 
 class HeartbeatHandler:
@@ -19,11 +24,12 @@
         self.due_ms = now_ms
 
     def beat_if_due(self, now_ms: float, platform_age_ms: float | None) -> bool:
-        """Send a heartbeat to every listed peer; False when the interval has not passed."""
+        """Send a heartbeat to the peers whose turn it is; False between two beats."""
         if now_ms < self.due_ms:
             return False
         parts = self._parts
-        self.due_ms = now_ms + parts.settings.timing.heartbeat_interval_ms
+        interval_ms = parts.settings.timing.heartbeat_interval_ms
+        self.due_ms = now_ms + interval_ms
         self._sequence += 1
         reports = parts.admission.report(now_ms)
         heartbeat = Heartbeat(
@@ -37,17 +43,15 @@
             digest=parts.store.digest,
             stopping=parts.lifecycle.is_stopping,
         )
-        for instance_id in parts.membership.peers:
+        targets = dict.fromkeys(parts.membership.take_beat_targets(parts.random))
+        targets |= dict.fromkeys(list(reports)[:MOST_OWN_REPORTS])
+        for instance_id in targets:
             own = reports.get(instance_id)
             parts.send(instance_id, heartbeat if own is None else replace(heartbeat, demand=own))
-        open_requests = len(parts.coordinator)
-        if parts.lifecycle.may_exit(open_requests, now_ms):
-            parts.actions.append(StopNow(open_requests))
+        self._probe_silent(interval_ms, now_ms)
         return True
 
-    def begin_stop(self, now_ms: float) -> None:
-        """Begin the graceful stop and tell the peers."""
-        if not self._parts.lifecycle.ask_stop(now_ms):
-            return
-        for instance_id in self._parts.membership.peers:
-            self._parts.send(instance_id, Goodbye(self._parts.incarnation))
+    def _probe_silent(self, interval_ms: float, now_ms: float) -> None:
+        parts = self._parts
+        for instance_id in parts.membership.take_probe_targets(interval_ms, now_ms):
+            parts.send(instance_id, Probe(ANY_NONCE, parts.store.revision))
--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -22,6 +22,7 @@
 from geraniumlead.instance.parts import InstanceParts
 from geraniumlead.instance.request_handler import RequestHandler
 from geraniumlead.instance.status import InstanceStatus
+from geraniumlead.instance.stop_handler import StopHandler
 from geraniumlead.peers import (
     CancelBatch,
     DocumentsUpdate,
@@ -47,7 +48,15 @@
     TimerFired. Nothing here does I/O, reads a clock or uses global randomness.
     """
 
-    __slots__ = ("_calls", "_configuration", "_freshness", "_heartbeats", "_requests", "parts")
+    __slots__ = (
+        "_calls",
+        "_configuration",
+        "_freshness",
+        "_heartbeats",
+        "_requests",
+        "_stop",
+        "parts",
+    )
 
     def __init__(self, settings: InstanceSettings, random: Random, now_ms: float) -> None:
         self.parts = InstanceParts(settings, random, now_ms)
@@ -55,6 +64,7 @@
         self._requests = RequestHandler(self.parts, self._calls)
         self._configuration = ConfigurationHandler(self.parts, self._calls)
         self._heartbeats = HeartbeatHandler(self.parts, now_ms)
+        self._stop = StopHandler(self.parts, self._calls, self._requests)
         self._freshness = FreshnessHandler(
             self.parts, self._calls, self._requests, self._configuration
         )
@@ -84,7 +94,7 @@
             case PlatformSilent():
                 self._configuration.take_silence(event)
             case StopRequested():
-                self._heartbeats.begin_stop(now_ms)
+                self._stop.begin(now_ms)
             case TimerFired(wall_now_s=wall_now_s):
                 if wall_now_s is not None:
                     self.parts.admission.observe_wall_clock(wall_now_s, now_ms)
@@ -132,6 +142,7 @@
         )
 
     def _take_message(self, sender_id: str, message: PeerMessage, now_ms: float) -> None:
+        self.parts.membership.note_heard(sender_id, now_ms)
         match message:
             case Heartbeat() | Goodbye():
                 self._configuration.take_sign_of_life(sender_id, message, now_ms)
@@ -164,8 +175,10 @@
         self._requests.expire_forwarded(now_ms)
         if self._heartbeats.beat_if_due(now_ms, self._configuration.contact.age_ms(now_ms)):
             self._configuration.read_if_nobody_does(now_ms)
+            self._stop.exit_if_done(now_ms)
         for peer_id, message in self.parts.batcher.take_due(now_ms):
-            self.parts.send(peer_id, message)
+            if self.parts.send(peer_id, message) and isinstance(message, SubqueryBatch):
+                self.parts.membership.note_asked(peer_id, now_ms)
 
     def _take_actions(self) -> list[Action]:
         actions, self.parts.actions = self.parts.actions, []
--- a/packages/geraniumlead/src/geraniumlead/instance/lifecycle.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/lifecycle.py
@@ -42,14 +42,14 @@
         self._stop_asked_ms = now_ms
         return True
 
-    def may_exit(self, open_requests: int, now_ms: float) -> bool:
+    def may_exit(self, work_in_hand: int, now_ms: float) -> bool:
         """Return whether a stopping instance has nothing left to wait for."""
         if self.phase is not LifecyclePhase.STOPPING:
             return False
         stopping_ms = now_ms - self._stop_asked_ms
         if stopping_ms >= self._timing.stop_bound_ms:
             return True
-        return stopping_ms >= self._timing.stop_notice_ms and open_requests == 0
+        return stopping_ms >= self._timing.stop_notice_ms and work_in_hand == 0
 
     @property
     def is_stopping(self) -> bool:
--- a/packages/geraniumlead/src/geraniumlead/instance/parts.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/parts.py
@@ -65,7 +65,7 @@
     def is_ready(self) -> bool:
         """Return what the balancer is told."""
         in_service = self.store.view.is_data_centre_in(self.settings.data_centre)
-        return self.lifecycle.is_serving and in_service
+        return self.lifecycle.is_serving and in_service and not self.membership.is_leaving
 
     @property
     def is_configured(self) -> bool:
--- a/packages/geraniumlead/src/geraniumlead/instance/ticket_desk.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/ticket_desk.py
@@ -48,6 +48,11 @@
         book = TicketBook(settings.instance_id, incarnation, valid_ms, random)
         return cls(book, settings.instance_id, incarnation)
 
+    @property
+    def open_count(self) -> int:
+        """Return how many requests wait here for a ticket's outcome."""
+        return len(self._requests) + len(self._forwarded_out) + len(self._forwarded_in)
+
     def issue(self, customer: str, class_name: str, now_ms: float) -> str:
         """Return a new ticket."""
         return self._book.issue(customer, class_name, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/membership/membership.py
+++ b/packages/geraniumlead/src/geraniumlead/membership/membership.py
@@ -1,6 +1,9 @@
-"""Follow the peers of the published list by their heartbeats."""
+"""Follow the peers of the published list by what is heard of them."""
+
+from random import Random
 
 from geraniumlead.configuration.cluster_view import ClusterView
+from geraniumlead.membership.beat_rotation import BeatRotation
 from geraniumlead.membership.peer import Peer
 from geraniumlead.ownership.rendezvous import rank_by_rendezvous
 from geraniumlead.peers.messages import Goodbye, Heartbeat
@@ -8,56 +11,142 @@
 WATCHERS_PER_DATA_CENTRE = 2
 """Instances of a data centre that keep a watch on the platform; one may fail at any time."""
 
+LOCAL_BEATS = 12
+"""Peers of the own data centre in one beat: all of them at today's size, and with the remote
+ones about 32 messages a second at any size."""
+
+REMOTE_BEATS = 4
+"""Peers of other data centres in one beat: all of them at today's size. At the target all
+instances of a data centre together send 920 beats to others, so news cross within one."""
+
+PROBES_PER_BEAT = 16
+"""Silent peers that are asked for a sign of life in one beat, so that a whole data centre
+that fell silent does not turn into a burst of messages."""
+
 
 class Membership:
-    """Know the listed peers, who of them was heard lately, and who watches the platform."""
+    """Know the listed peers, which of them can be reached, and who watches the platform.
+
+    A peer is judged by the path that is used: in a group small enough that every beat
+    reaches all, silence is enough; in a larger one a peer counts as reachable until work
+    sent to it, or a probe, stays without any message of its own for the peer timeout. So a
+    one-way cut counts as a loss, though others still hear the peer, and no list of
+    suspicions is passed around.
+    """
 
-    __slots__ = ("_data_centre", "_instance_id", "_peer_timeout_ms", "peers")
+    __slots__ = (
+        "_awaited",
+        "_data_centre",
+        "_instance_id",
+        "_local",
+        "_own_state",
+        "_peer_timeout_ms",
+        "_remote",
+        "peers",
+    )
 
     def __init__(self, instance_id: str, data_centre: str, peer_timeout_ms: float) -> None:
         self._instance_id = instance_id
         self._data_centre = data_centre
         self._peer_timeout_ms = peer_timeout_ms
+        self._local = BeatRotation(LOCAL_BEATS)
+        self._remote = BeatRotation(REMOTE_BEATS)
+        self._awaited: dict[str, None] = {}
+        self._own_state = "live"
         self.peers: dict[str, Peer] = {}
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the published list says that this instance leaves."""
+        return self._own_state == "leaving"
+
     def update(self, view: ClusterView) -> None:
         """Take over the published lists; what was heard of a peer is kept."""
         listed = {
             entry.instance_id: (entry, data_centre)
             for data_centre, entries in view.instances.items()
             for entry in entries
-            if entry.instance_id != self._instance_id
         }
+        own = listed.pop(self._instance_id, None)
+        self._own_state = "live" if own is None else own[0].state
         for name in self.peers.keys() - listed.keys():
             del self.peers[name]
+            self._awaited.pop(name, None)
         for name, (entry, data_centre) in listed.items():
             peer = self.peers.get(name)
             if peer is None:
                 self.peers[name] = Peer(entry, data_centre)
             else:
-                peer.entry = entry
+                peer.entry, peer.data_centre = entry, data_centre
+        self._local.update(name for name in listed if self._is_local(name))
+        self._remote.update(name for name in listed if not self._is_local(name))
 
     def hear(self, sender_id: str, message: Heartbeat | Goodbye, now_ms: float) -> Peer | None:
         """Note a sign of life or a farewell; None for a sender that is not listed."""
         peer = self.peers.get(sender_id)
         if peer is None:
             return None
-        peer.heard_ms = now_ms
+        self.note_heard(sender_id, now_ms)
         match message:
             case Heartbeat():
-                peer.incarnation = message.incarnation
-                peer.revision = message.revision
-                peer.ready = message.ready
-                peer.leaving = False
-            case Goodbye():
-                peer.leaving = True
+                self._take_heartbeat(peer, message)
+            case Goodbye(incarnation=incarnation):
+                peer.left_incarnation = incarnation
         return peer
 
+    def note_heard(self, sender_id: str, now_ms: float) -> None:
+        """Note that any message came from a peer: it lives, and its way here works."""
+        peer = self.peers.get(sender_id)
+        if peer is not None:
+            peer.heard_ms = now_ms
+            peer.unanswered_since_ms = None
+            self._awaited.pop(sender_id, None)
+
+    def note_asked(self, instance_id: str, now_ms: float) -> None:
+        """Note that work or a probe was sent to a peer, which must be heard after it."""
+        peer = self.peers.get(instance_id)
+        if peer is not None and peer.unanswered_since_ms is None:
+            peer.unanswered_since_ms = now_ms
+            self._awaited[instance_id] = None
+
+    def take_beat_targets(self, random: Random) -> list[str]:
+        """Return the peers that this beat goes to."""
+        return [*self._local.take(random), *self._remote.take(random)]
+
+    def find_farewell_targets(self) -> list[str]:
+        """Return the peers that are told of a stop at once; others are when they send work."""
+        remote = self._remote.reaches_all
+        return [name for name in self.peers if remote or self._is_local(name)]
+
+    def take_probe_targets(self, interval_ms: float, now_ms: float) -> list[str]:
+        """Return peers that were asked an interval ago or more and are still silent.
+
+        A cancelled subquery is never answered, so silence after work proves nothing by
+        itself; silence after a probe does.
+        """
+        due = []
+        for name in list(self._awaited)[: 4 * PROBES_PER_BEAT]:
+            since_ms = self.peers[name].unanswered_since_ms
+            if since_ms is not None and now_ms - since_ms >= interval_ms:
+                due.append(name)
+                # To the end, so that the next beat asks others first.
+                del self._awaited[name]
+                self._awaited[name] = None
+            if len(due) == PROBES_PER_BEAT:
+                break
+        return due
+
     def is_reachable(self, instance_id: str, now_ms: float) -> bool:
-        """Return whether a peer was heard lately and is not leaving."""
+        """Return whether work may be sent to a peer."""
         peer = self.peers.get(instance_id)
         if peer is None or peer.leaving:
             return False
+        since_ms = peer.unanswered_since_ms
+        if since_ms is not None and now_ms - since_ms > self._peer_timeout_ms:
+            return False
+        group = self._local if peer.data_centre == self._data_centre else self._remote
+        if not group.reaches_all:
+            return True
         return now_ms - peer.heard_ms <= self._peer_timeout_ms
 
     def local_peers(self) -> list[Peer]:
@@ -70,8 +159,22 @@
         It follows from the published list. An instance that is not on the list yet watches
         too: it has no other way to learn of its peers.
         """
-        local = [peer.entry.instance_id for peer in self.local_peers()]
+        local = [
+            peer.entry.instance_id for peer in self.local_peers() if peer.entry.state == "live"
+        ]
         if not local:
             return True
         ranked = rank_by_rendezvous(self._data_centre, [*local, self._instance_id])
         return self._instance_id in ranked[:WATCHERS_PER_DATA_CENTRE]
+
+    def _take_heartbeat(self, peer: Peer, heartbeat: Heartbeat) -> None:
+        peer.incarnation = heartbeat.incarnation
+        peer.revision = heartbeat.revision
+        peer.ready = heartbeat.ready
+        if heartbeat.stopping:
+            peer.left_incarnation = heartbeat.incarnation
+        elif heartbeat.incarnation != peer.left_incarnation:
+            peer.left_incarnation = None
+
+    def _is_local(self, instance_id: str) -> bool:
+        return self.peers[instance_id].data_centre == self._data_centre
