--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_client/call_budget.py
@@ -0,0 +1,25 @@
+"""Bound the calls of one instance to the platform."""
+
+CALLS_PER_S = 4.0
+BURST_CALLS = 8.0
+
+
+class CallBudget:
+    """Be a token bucket over all kinds of calls.
+
+    Load pattern: a platform that answers and then closes its watches at once would be read
+    as fast as it answers. A watcher needs about one call a second; four bound the fault.
+    """
+
+    __slots__ = ("_tokens", "_updated_s")
+
+    def __init__(self, now_s: float) -> None:
+        self._tokens = BURST_CALLS
+        self._updated_s = now_s
+
+    def take(self, now_s: float) -> float:
+        """Spend one call; return the time to wait before it is made."""
+        earned = (now_s - self._updated_s) * CALLS_PER_S
+        self._tokens = min(BURST_CALLS, self._tokens + earned) - 1.0
+        self._updated_s = now_s
+        return max(0.0, -self._tokens / CALLS_PER_S)
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_client/client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_client/client.py
@@ -4,22 +4,33 @@
 from collections.abc import Callable
 from random import Random
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
-from msgspec import DecodeError
+from aiohttp import ClientSession, ClientTimeout
 from msgspec.json import Decoder
 
 from geraniumlead.documents import VersionedValue
 from geraniumlead.events import DocumentsReceived, PlatformSilent
-from geraniumlead_server.platform_client.wire import RangeResponse, WatchLine, prefix_range
-
+from geraniumlead_server.platform_client.backoff import Backoff
+from geraniumlead_server.platform_client.call_budget import CallBudget
+from geraniumlead_server.platform_client.errors import PLATFORM_ERRORS
+from geraniumlead_server.platform_client.seen_keys import SeenKeys
+from geraniumlead_server.platform_client.wire import (
+    RangeResponse,
+    WatchLine,
+    newest_key_range,
+    prefix_range,
+)
+
+CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 3.0
-SILENT_WATCH_S = 20.0
-FIRST_PAUSE_S = 0.2
-LONGEST_PAUSE_S = 5.0
+CHECK_INTERVAL_S = 1.0
+"""A silent watch is found after two checks, well within the time for a change."""
+
 LINE_LIMIT_BYTES = 8 * 1024 * 1024
 
 _RANGE = Decoder(RangeResponse)
 _WATCH = Decoder(WatchLine)
+_READ_TIMEOUT = ClientTimeout(total=READ_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+_WATCH_TIMEOUT = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 
 
 class PlatformClient:
@@ -31,12 +42,13 @@
         report: Callable[[DocumentsReceived | PlatformSilent], None],
         random: Random,
     ) -> None:
-        self._addresses = addresses
+        self._addresses = random.sample(addresses, len(addresses))
         self._report = report
         self._random = random
         self._task: asyncio.Task | None = None
         self._reads: dict[int, asyncio.Task] = {}
         self._session: ClientSession | None = None
+        self._budget = CallBudget(asyncio.get_running_loop().time())
 
     def watch(self, read_number: int) -> None:
         """Read anew and watch from there; a watch that runs is replaced."""
@@ -47,7 +59,7 @@
         """Make one full read, unless one with this number runs."""
         if read_number in self._reads:
             return
-        task = asyncio.get_running_loop().create_task(self._read_and_report(read_number))
+        task = asyncio.get_running_loop().create_task(self._read_anywhere(read_number))
         self._reads[read_number] = task
         task.add_done_callback(lambda _: self._reads.pop(read_number, None))
 
@@ -58,55 +70,62 @@
             self._task = None
 
     async def close(self) -> None:
-        """End the watch and close the connections."""
+        """End all calls and close the connections."""
         self.stop()
+        for task in list(self._reads.values()):
+            task.cancel()
         if self._session is not None:
             await self._session.close()
 
     async def _follow(self, read_number: int) -> None:
-        pause_s = FIRST_PAUSE_S
-        attempt = 0
+        backoff = Backoff(self._random)
         while True:
-            address = self._addresses[attempt % len(self._addresses)]
-            attempt += 1
+            address = self._next_address()
             try:
-                revision = await self._read(address, read_number)
-                pause_s = FIRST_PAUSE_S
-                await self._watch(address, revision + 1)
-            except (ClientError, OSError, TimeoutError, DecodeError, ValueError) as error:
+                seen = await self._read(address, read_number)
+                backoff.reset()
+                await self._watch_and_check(address, seen)
+            except PLATFORM_ERRORS as error:
                 self._report(PlatformSilent(f"{address}: {type(error).__name__}"))
-            # Spread, so that the readers do not all return to a platform that came back.
-            await asyncio.sleep(pause_s * (0.5 + self._random.random()))
-            pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+            await asyncio.sleep(backoff.next_pause_s())
 
-    async def _read_and_report(self, read_number: int) -> None:
-        address = self._random.choice(self._addresses)
-        try:
-            await self._read(address, read_number)
-        except (ClientError, OSError, TimeoutError, DecodeError) as error:
-            self._report(PlatformSilent(f"{address}: {type(error).__name__}"))
+    async def _read_anywhere(self, read_number: int) -> None:
+        for _ in self._addresses:
+            address = self._next_address()
+            try:
+                await self._read(address, read_number)
+                return
+            except PLATFORM_ERRORS as error:
+                self._report(PlatformSilent(f"{address}: {type(error).__name__}"))
 
-    async def _read(self, address: str, read_number: int) -> int:
-        async with self._client().post(
-            f"http://{address}/v3/kv/range",
-            json=prefix_range(),
-            timeout=ClientTimeout(total=READ_TIMEOUT_S),
-        ) as response:
-            response.raise_for_status()
-            found = _RANGE.decode(await response.read())
+    async def _read(self, address: str, read_number: int) -> SeenKeys:
+        found = await self._range(address, prefix_range())
         revision = int(found.header.revision)
         documents = tuple(item.to_versioned() for item in found.kvs)
+        seen = SeenKeys()
+        seen.take(documents, revision, is_snapshot=True)
         self._report(DocumentsReceived(revision, documents, True, read_number))
-        return revision
+        return seen
 
-    async def _watch(self, address: str, from_revision: int) -> None:
-        create = prefix_range() | {"start_revision": str(from_revision), "progress_notify": True}
+    async def _watch_and_check(self, address: str, seen: SeenKeys) -> None:
+        tasks = [
+            asyncio.create_task(self._watch(address, seen)),
+            asyncio.create_task(self._check(address, seen)),
+        ]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _watch(self, address: str, seen: SeenKeys) -> None:
+        create = prefix_range() | {"start_revision": str(seen.revision + 1)}
+        await self._wait_for_budget()
         async with self._client().post(
-            f"http://{address}/v3/watch",
-            json={"create_request": create},
-            timeout=ClientTimeout(
-                total=None, sock_connect=READ_TIMEOUT_S, sock_read=SILENT_WATCH_S
-            ),
+            f"http://{address}/v3/watch", json={"create_request": create}, timeout=_WATCH_TIMEOUT
         ) as response:
             response.raise_for_status()
             async for line in response.content:
@@ -114,9 +133,47 @@
                 if result.canceled:
                     # The revision was compacted away: only a full read can close the gap.
                     return
+                if not result.events:
+                    continue
                 documents = tuple(_versioned_of(event) for event in result.events)
-                revision = int(result.header.revision)
-                self._report(DocumentsReceived(revision, documents, is_snapshot=False))
+                before, revision = seen.revision, int(result.header.revision)
+                seen.take(documents, revision, is_snapshot=False)
+                self._report(DocumentsReceived(revision, documents, False, above_revision=before))
+
+    async def _check(self, address: str, seen: SeenKeys) -> None:
+        mismatches = 0
+        while mismatches < 2:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            found = await self._range(address, newest_key_range())
+            if int(found.header.revision) < seen.revision:
+                # An old copy answers: changes that it is given now would come below the
+                # revision that the watch waits for, so only a new read shows them.
+                return
+            newest = int(found.kvs[0].mod_revision) if found.kvs else 0
+            if seen.matches(newest, int(found.count)):
+                mismatches = 0
+                revision = seen.revision
+                self._report(DocumentsReceived(revision, (), False, above_revision=revision))
+            else:
+                # The watch may just be about to tell; at the second time it is silent.
+                mismatches += 1
+
+    async def _range(self, address: str, selected: dict) -> RangeResponse:
+        await self._wait_for_budget()
+        async with self._client().post(
+            f"http://{address}/v3/kv/range", json=selected, timeout=_READ_TIMEOUT
+        ) as response:
+            response.raise_for_status()
+            return _RANGE.decode(await response.read())
+
+    async def _wait_for_budget(self) -> None:
+        wait_s = self._budget.take(asyncio.get_running_loop().time())
+        if wait_s > 0.0:
+            await asyncio.sleep(wait_s)
+
+    def _next_address(self) -> str:
+        self._addresses.append(self._addresses.pop(0))
+        return self._addresses[-1]
 
     def _client(self) -> ClientSession:
         if self._session is None:
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_client/wire.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_client/wire.py
@@ -32,10 +32,11 @@
 
 
 class RangeResponse(Struct):
-    """Be the answer of /v3/kv/range."""
+    """Be the answer of /v3/kv/range; ``count`` is of all keys, whatever the limit."""
 
     header: Header
     kvs: list[KeyValue] = field(default_factory=list)
+    count: str = "0"
 
 
 class WatchEvent(Struct):
@@ -70,3 +71,9 @@
     """Return the key and range_end that select every key below the prefix."""
     end = KEY_PREFIX[:-1] + chr(ord(KEY_PREFIX[-1]) + 1)
     return {"key": encode_text(KEY_PREFIX), "range_end": encode_text(end)}
+
+
+def newest_key_range() -> dict[str, str | bool]:
+    """Return a range that selects the key changed last, without its value, and the count."""
+    newest = {"limit": "1", "sort_order": "DESCEND", "sort_target": "MOD", "keys_only": True}
+    return prefix_range() | newest
--- /dev/null
+++ b/packages/geraniumlead-server/tests/server_tests/platform_client/test_client.py
@@ -0,0 +1,125 @@
+"""Test the client against the platform's stand-in on a loopback port."""
+
+import asyncio
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
+
+from aiohttp import web
+
+from geraniumlead.events import DocumentsReceived, PlatformSilent
+from geraniumlead_server.platform_client import PlatformClient, client
+from geraniumlead_standins.platform.app import PlatformApp
+from geraniumlead_standins.platform.faults import PlatformFaults
+from geraniumlead_standins.platform.store import PlatformStore
+
+PORT = 25_110
+NOBODY = "127.0.0.1:25111"
+KEY = "geraniumlead/contracts/acme"
+LONGEST_WAIT_S = 5.0
+
+
+class PlatformClientTests(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = PlatformStore()
+        self.store.put(KEY, b"1")
+        self.platform = PlatformApp(self.store)
+        self.runner = web.AppRunner(self.platform.build())
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", PORT, reuse_address=True).start()
+        self.events: list[DocumentsReceived | PlatformSilent] = []
+        self.client = PlatformClient([f"127.0.0.1:{PORT}"], self.events.append, Random(1))
+        self.enterContext(patch.object(client, "CHECK_INTERVAL_S", 0.05))
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        self.platform.faults = PlatformFaults(down=True)
+        await self.runner.cleanup()
+
+    async def wait_for(self, condition):
+        async with asyncio.timeout(LONGEST_WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def values(self) -> list[bytes | None]:
+        return [
+            item.value
+            for event in self.events
+            if isinstance(event, DocumentsReceived)
+            for item in event.documents
+        ]
+
+    async def publish(self, value: bytes | None):
+        self.store.put(KEY, value)
+        await self.platform._notify()
+
+    async def test_reads_then_watches(self):
+        self.client.watch(7)
+        await self.wait_for(lambda: self.events)
+        self.assertEqual((1, True, 7), self.read_of(self.events[0]))
+        await self.publish(b"2")
+        await self.wait_for(lambda: b"2" in self.values())
+        await self.publish(None)
+        await self.wait_for(lambda: None in self.values())
+
+    @staticmethod
+    def read_of(event: DocumentsReceived) -> tuple[int, bool, int]:
+        return event.revision, event.is_snapshot, event.read_number
+
+    async def test_a_value_of_a_megabyte_arrives_by_read_and_by_watch(self):
+        large = b"x" * 1_000_000
+        await self.publish(large)
+        self.client.watch(1)
+        await self.wait_for(lambda: large in self.values())
+        larger = b"y" * 1_000_000
+        await self.publish(larger)
+        await self.wait_for(lambda: larger in self.values())
+
+    async def test_a_watch_that_went_silent_is_replaced(self):
+        """The connection of the watch stays open and says nothing, for good.
+
+        Without the check the change would never come: the watch looks like one that has no
+        news. A small read shows that the platform holds more than the watch told.
+        """
+        self.client.watch(1)
+        await self.wait_for(lambda: self.events)
+        self.platform.faults = PlatformFaults(silent_watches=True)
+        await self.publish(b"2")
+        await self.wait_for(lambda: b"2" in self.values())
+
+    async def test_a_change_below_the_old_revision_is_seen_after_a_restore(self):
+        for number in range(5):
+            await self.publish(b"%d" % number)
+        self.client.watch(1)
+        await self.wait_for(lambda: self.events)
+        self.store.restore(2)
+        await self.publish(b"restored")
+        await self.wait_for(lambda: b"restored" in self.values())
+
+    async def test_goes_on_with_the_next_address(self):
+        self.client = PlatformClient(
+            [NOBODY, f"127.0.0.1:{PORT}", NOBODY.replace("25111", "25112")],
+            self.events.append,
+            Random(1),
+        )
+        self.client.read_once(3)
+        await self.wait_for(lambda: self.values())
+
+    async def test_over_budget_is_told_and_tried_again(self):
+        self.platform.faults = PlatformFaults(over_budget=True)
+        self.client.watch(1)
+        await self.wait_for(lambda: self.events)
+        self.assertIsInstance(self.events[0], PlatformSilent)
+        self.platform.faults = PlatformFaults()
+        await self.wait_for(lambda: self.values())
+
+    async def test_a_lagging_list_shows_the_old_one(self):
+        key = "geraniumlead/instances/noord"
+        self.store.put(key, b"old")
+        self.platform.faults = PlatformFaults(lists_lag=True)
+        self.platform._lists_at = self.store.revision
+        self.store.put(key, b"new")
+        self.client.read_once(1)
+        await self.wait_for(lambda: self.values())
+        self.assertIn(b"old", self.values())
+        self.assertNotIn(b"new", self.values())
