--- a/packages/geraniumlead-standins/tests/standins_tests/membership/builders.py
+++ b/packages/geraniumlead-standins/tests/standins_tests/membership/builders.py
@@ -53,6 +53,7 @@
                 self.ask(name, f"proof-{name}-{number}")
             self.run_for(200.0)
         self.calls.clear()
+        self.outcomes.clear()
 
     def ask(
         self, name: str, request_id: str, allowed_ms: float = 1_000.0, least_coverage: float = 1.0
--- a/packages/geraniumlead/src/geraniumlead/admission/concurrency_limit.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/concurrency_limit.py
@@ -41,13 +41,13 @@
     __slots__ = (
         "_baselines",
         "_closes_ms",
+        "_latencies",
         "_latency_sum",
         "_mean_ms",
         "_peak",
         "_probe_due_ms",
         "_probe_every_ms",
         "_probing",
-        "_latencies",
         "_samples",
         "_value",
     )
