Survive answers that take no measurable time

Cause: the capacity measurement answers calls within one event; a window of zero latencies was divided by in the concurrency limit and stopped the instance.

--- a/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/decision_cluster.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/decision_cluster.py
@@ -17,10 +17,10 @@
     VersionedValue,
 )
 from geraniumlead.documents.decoding import key_of_document
-from geraniumlead.events import DocumentsReceived, PeerMessageReceived
+from geraniumlead.events import DocumentsReceived
 from geraniumlead.instance import Instance
-from geraniumlead.peers import Heartbeat, ProbeReply
 from geraniumlead.settings import InstanceSettings, ListenSettings
+from geraniumlead_standins.capacity.echo_driver import EchoDriver
 
 OWN_NAME = "noord-0"
 LISTEN = ListenSettings(callers="127.0.0.1:1", operators="127.0.0.1:2", peers="127.0.0.1:3")
@@ -73,7 +73,7 @@
 
 
 def build_instance(shards: int, instances: int = 1, contracts: int = 1) -> Instance:
-    """Return a configured instance whose peers were all heard at time 0."""
+    """Return a configured instance that heard no peer yet."""
     settings = InstanceSettings(
         instance_id=OWN_NAME,
         data_centre="noord",
@@ -85,9 +85,12 @@
     documents = build_documents(shards, instances, contracts)
     freshness = instance.parts.freshness
     instance.handle(DocumentsReceived(1, documents, True, freshness.read_number), 0.0)
-    for number in range(1, instances):
-        heartbeat = Heartbeat(f"life-{number}", "noord", 1, 1, True)
-        instance.handle(PeerMessageReceived(f"noord-{number}", heartbeat), 0.0)
-        reply = ProbeReply(freshness.nonce, 1, True)
-        instance.handle(PeerMessageReceived(f"noord-{number}", reply), 0.0)
     return instance
+
+
+def build_driver(shards: int, instances: int = 1, contracts: int = 1) -> EchoDriver:
+    """Return a settled driver of a configured instance."""
+    instance = build_instance(shards, instances, contracts)
+    driver = EchoDriver(instance, [f"noord-{number}" for number in range(1, instances)])
+    driver.settle()
+    return driver
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/decision_cpu.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/decision_cpu.py
@@ -3,64 +3,45 @@
 import gc
 from time import process_time
 
-from geraniumlead.actions import AnswerCaller, CallUpstream, SendToPeer
-from geraniumlead.events import PeerMessageReceived, QueryArrived, TimerFired, UpstreamAnswered
-from geraniumlead.instance import Instance
-from geraniumlead.peers import SubqueryBatch, SubqueryResult, SubqueryResultBatch
+from geraniumlead.events import QueryArrived, TimerFired
 from geraniumlead.requests import Answered, CallerRequest, NotRun
-from geraniumlead.upstreams import Records
-from geraniumlead_standins.capacity.decision_cluster import build_instance
+from geraniumlead_standins.capacity.decision_cluster import build_driver
+from geraniumlead_standins.capacity.echo_driver import EchoDriver
 
 FAN_OUTS = (20, 100, 200, 600, 1200)
 SUBQUERIES_A_POINT = 24_000
-RECORDS = b'[{"id":"a","hours":1.5}]'
+WARM_UP_QUERIES = 12
 OWNERS_FOR_REMOTE = 24
 
 
 def measure_local_query() -> list[tuple[float, float]]:
     """Return microseconds a query by shards, where the instance owns every upstream."""
-    points = []
-    for shards in FAN_OUTS:
-        instance = build_instance(shards)
-        points.append((float(shards), _time_queries(instance, shards, _answer_local)))
-    return points
+    return [(float(shards), _time_queries(build_driver(shards), shards)) for shards in FAN_OUTS]
 
 
 def measure_remote_query() -> list[tuple[float, float]]:
-    """Return microseconds a query by shards, where nearly all upstreams are peers' own."""
-    points = []
-    for shards in FAN_OUTS:
-        instance = build_instance(shards, instances=OWNERS_FOR_REMOTE)
-        points.append((float(shards), _time_queries(instance, shards, _answer_remote)))
-    return points
+    """Return microseconds a query by shards, where three quarters are peers' own."""
+    return [
+        (float(shards), _time_queries(build_driver(shards, OWNERS_FOR_REMOTE), shards))
+        for shards in FAN_OUTS
+    ]
 
 
 def measure_refused() -> float:
     """Return microseconds of decision for a request that is refused."""
-    instance = build_instance(20)
+    driver = build_driver(20)
     count = 20_000
     started = process_time()
     for number in range(count):
-        request = _build_request(f"r{number}", "nobody", 0.0)
-        actions = instance.handle(QueryArrived(request), 0.0)
-        if not isinstance(actions[-1].outcome, NotRun):
-            raise RuntimeError("the request was not refused")
-    return (process_time() - started) / count * 1e6
+        driver.feed(QueryArrived(build_request(f"r{number}", "nobody", driver.now_ms)))
+    spent_s = process_time() - started
+    if not all(isinstance(answer.outcome, NotRun) for answer in driver.answers):
+        raise RuntimeError("a request was not refused")
+    return spent_s / count * 1e6
 
 
-def _time_queries(instance: Instance, shards: int, answer) -> float:
-    count = max(20, SUBQUERIES_A_POINT // shards)
-    for number in range(3):
-        _run_query(instance, f"w{number}", 0.0, answer)
-    gc.collect()
-    started = process_time()
-    for number in range(count):
-        # A real instance's clock moves on; one that stands still would hide expiry work.
-        _run_query(instance, f"q{number}", 1.0 + number * 0.01, answer)
-    return (process_time() - started) / count * 1e6
-
-
-def _build_request(request_id: str, customer: str, now_ms: float) -> CallerRequest:
+def build_request(request_id: str, customer: str, now_ms: float) -> CallerRequest:
+    """Return a lookup with ten seconds of time."""
     return CallerRequest(
         request_id=request_id,
         customer=customer,
@@ -72,42 +53,29 @@
     )
 
 
-def _run_query(instance: Instance, request_id: str, now_ms: float, answer) -> None:
-    request = _build_request(request_id, "customer-0", now_ms)
-    actions = instance.handle(QueryArrived(request), now_ms)
-    ended = answer(instance, actions, now_ms)
-    if not isinstance(ended.outcome, Answered) or not ended.outcome.coverage.is_whole:
-        raise RuntimeError(f"the query was not answered whole: {ended.outcome!r}")
-
-
-def _answer_local(instance: Instance, actions: list, now_ms: float) -> AnswerCaller:
-    pending = list(actions)
-    while pending:
-        action = pending.pop()
-        if isinstance(action, AnswerCaller):
-            return action
-        if isinstance(action, CallUpstream):
-            records = Records(1, action.subquery.shard, RECORDS)
-            pending += instance.handle(UpstreamAnswered(action.call_id, records), now_ms)
-    raise RuntimeError("the query has no outcome")
-
-
-def _answer_remote(instance: Instance, actions: list, now_ms: float) -> AnswerCaller:
-    tick_ms = now_ms + instance.parts.settings.timing.batch_tick_ms
-    pending = [*actions, *instance.handle(TimerFired(), tick_ms)]
-    while pending:
-        action = pending.pop()
-        match action:
-            case AnswerCaller():
-                return action
-            case CallUpstream(subquery=subquery):
-                answered = UpstreamAnswered(action.call_id, Records(1, subquery.shard, RECORDS))
-                pending += instance.handle(answered, tick_ms)
-            case SendToPeer(message=SubqueryBatch(subqueries=subqueries)):
-                results = tuple(
-                    SubqueryResult(subquery.call_id, Records(1, subquery.shard, RECORDS))
-                    for subquery in subqueries
-                )
-                event = PeerMessageReceived(action.instance_id, SubqueryResultBatch(results))
-                pending += instance.handle(event, tick_ms)
-    raise RuntimeError("the query has no outcome")
+def _time_queries(driver: EchoDriver, shards: int) -> float:
+    count = max(20, SUBQUERIES_A_POINT // shards)
+    for number in range(WARM_UP_QUERIES):
+        _run_query(driver, f"w{number}")
+        driver.advance(100.0)
+    driver.answers.clear()
+    gc.collect()
+    started = process_time()
+    for number in range(count):
+        _run_query(driver, f"q{number}")
+    spent_s = process_time() - started
+    whole = [answer for answer in driver.answers if _is_whole(answer.outcome)]
+    if len(whole) != count:
+        raise RuntimeError(f"{len(whole)} of {count} queries were answered whole")
+    return spent_s / count * 1e6
+
+
+def _is_whole(outcome) -> bool:
+    return isinstance(outcome, Answered) and outcome.coverage.is_whole
+
+
+def _run_query(driver: EchoDriver, request_id: str) -> None:
+    driver.feed(QueryArrived(build_request(request_id, "customer-0", driver.now_ms)))
+    # The batching tick sends what goes to peers.
+    driver.now_ms += driver.instance.parts.settings.timing.batch_tick_ms
+    driver.feed(TimerFired())
--- a/packages/geraniumlead/src/geraniumlead/admission/concurrency_limit.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/concurrency_limit.py
@@ -24,6 +24,9 @@
 follows soon; each that finds none doubles the time, up to one window in 150, a third of a
 percent of the capacity."""
 
+LEAST_LATENCY_MS = 0.001
+"""Latencies are divided by one another, so none may be zero."""
+
 
 class ConcurrencyLimit:
     """Bound the cost in service by a gradient of latency.
@@ -117,15 +120,16 @@
         is_light = self._peak <= SATURATED_SHARE * self._value
         weighted, news = 0.0, 1.0
         for kind, latencies in self._latencies.items():
-            mean_ms = sum(latencies) / len(latencies)
+            # A clock that stands still between two events gives a latency of nothing.
+            mean_ms = max(LEAST_LATENCY_MS, sum(latencies) / len(latencies))
             known_ms = self._baselines.get(kind, mean_ms)
-            news = min(news, mean_ms / max(known_ms, 0.001))
+            news = min(news, mean_ms / known_ms)
             if mean_ms < known_ms:
                 known_ms += (1.0 if self._probing else 0.3) * (mean_ms - known_ms)
             elif is_light:
                 known_ms += 0.1 * (mean_ms - known_ms)
             self._baselines[kind] = known_ms
-            weighted += len(latencies) * mean_ms / max(known_ms, 0.001)
+            weighted += len(latencies) * mean_ms / known_ms
         self._latencies = {}
         return weighted / self._samples, news
 
