Work the capacity page out of the measured lines

The model turns slopes into figures for one node at three sizes and a page is rendered from the records, so the two can't differ. Not run yet: the control measurement that a page needs; no figure is claimed.

--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/__main__.py
@@ -0,0 +1,33 @@
+"""Measure and write the capacity page: ``python -m geraniumlead_standins.capacity``."""
+
+import argparse
+import tempfile
+from pathlib import Path
+
+from msgspec.json import decode, encode, format
+
+from geraniumlead_standins.capacity.page import render_page
+from geraniumlead_standins.capacity.record import measure_all
+
+RECORD_FILE = Path("docs/measurements/capacity.json")
+CONTROL_FILE = Path("docs/measurements/control.json")
+PAGE_FILE = Path("docs/CAPACITY.md")
+
+
+def main() -> None:
+    """Measure unless only the page is wanted, then write the page from the records."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--render", action="store_true", help="write the page, measure nothing")
+    arguments = parser.parse_args()
+    if not arguments.render:
+        with tempfile.TemporaryDirectory() as folder:
+            record = measure_all(Path(folder), lambda text: print(f"measuring {text}", flush=True))
+        RECORD_FILE.write_bytes(format(encode(record), indent=1) + b"\n")
+    measured = decode(RECORD_FILE.read_bytes())
+    control = decode(CONTROL_FILE.read_bytes())
+    PAGE_FILE.write_text(render_page(measured, control))
+    print(f"wrote {PAGE_FILE}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/node_costs.py
@@ -0,0 +1,139 @@
+"""Work out from measured slopes what one node spends at a size."""
+
+from dataclasses import dataclass
+
+from geraniumlead.ownership.owners import LEAST_CONNECTIONS, MOST_OWNERS
+from geraniumlead_standins.capacity.deployment_size import DeploymentSize
+
+MICROSECONDS_PER_S = 1e6
+BYTES_PER_MB = 1e6
+TICKS_PER_S = 200.0
+"""Batching ticks a second at the default tick of 5 ms."""
+
+REMEMBERED_S = 600.0
+"""Time for which a ticket is remembered: ten validity times of a minute."""
+
+WATCHERS_PER_DATA_CENTRE = 2
+DOCUMENT_BYTES = 1_000.0
+
+
+@dataclass(slots=True, frozen=True)
+class NodeCosts:
+    """Hold the figures of one node at one size; cores are of the kind measured on."""
+
+    owners_per_upstream: float
+    owned_upstreams: float
+    connections: float
+    peers_per_tick: float
+    messages_per_s: float
+    coordinator_cores: float
+    owner_cores: float
+    message_cores: float
+    upstream_call_cores: float
+    batched_call_cores: float
+    subqueries_per_server_s: float
+    open_request_mb: float
+    upstream_mb: float
+    contract_mb: float
+    peer_mb: float
+    ticket_mb: float
+    spread_bytes_per_s: float
+    platform_calls_per_s: float
+
+    @classmethod
+    def from_slopes(cls, size: DeploymentSize, measured: dict) -> "NodeCosts":
+        """Compute from the record that ``make capacity`` wrote."""
+        slopes = measured["slopes"]
+        owners = _owners(size)
+        subqueries = size.subqueries_per_node_s
+        remote_share = 1.0 - owners / size.nodes_per_data_centre
+        peers = _peers_per_tick(size, measured) if remote_share > 0 else 0.0
+        reached = min(peers, subqueries * remote_share / TICKS_PER_S)
+        # Subqueries out, results back, and the same for what others send to this owner.
+        messages = 4.0 * reached * TICKS_PER_S
+        remote_us = slopes["remote_query"]["slope"]
+        local_us = slopes["local_query"]["slope"]
+        coding_us = slopes["coding_subquery"]["slope"] + slopes["coding_result"]["slope"]
+        call_us = slopes["upstream_call"]["slope"]
+        per_server = size.queries_per_s * size.shards_per_query / size.servers
+        batch = max(1.0, per_server / owners / TICKS_PER_S)
+        return cls(
+            owners_per_upstream=owners,
+            owned_upstreams=size.servers_per_data_centre * owners / size.nodes_per_data_centre,
+            connections=size.servers_per_data_centre
+            * size.connections_per_server
+            / size.nodes_per_data_centre,
+            peers_per_tick=reached,
+            messages_per_s=messages,
+            coordinator_cores=subqueries * remote_us / MICROSECONDS_PER_S,
+            owner_cores=subqueries * max(0.0, local_us - remote_us) / MICROSECONDS_PER_S,
+            message_cores=(
+                messages * slopes["message"]["intercept"] / 2.0
+                + 2.0 * subqueries * remote_share * coding_us / 2.0
+            )
+            / MICROSECONDS_PER_S,
+            upstream_call_cores=subqueries * call_us / MICROSECONDS_PER_S,
+            batched_call_cores=subqueries / batch * call_us / MICROSECONDS_PER_S,
+            subqueries_per_server_s=per_server,
+            open_request_mb=size.queries_per_node_s
+            * size.query_ms
+            / 1000.0
+            * size.shards_per_query
+            * slopes["open_shard"]["slope"]
+            / BYTES_PER_MB,
+            upstream_mb=size.servers * slopes["upstream"]["slope"] / BYTES_PER_MB,
+            contract_mb=size.contracts * slopes["contract"]["slope"] / BYTES_PER_MB,
+            peer_mb=size.nodes * slopes["peer"]["slope"] / BYTES_PER_MB,
+            ticket_mb=size.queries_per_node_s
+            * size.bookings_share
+            * REMEMBERED_S
+            * slopes["ticket"]["slope"]
+            / BYTES_PER_MB,
+            spread_bytes_per_s=size.changes_per_s * DOCUMENT_BYTES * size.nodes_per_data_centre,
+            platform_calls_per_s=_platform_calls(size),
+        )
+
+    @property
+    def data_cores(self) -> float:
+        """Return the cores of one node's data path, with one HTTP call a subquery."""
+        return (
+            self.coordinator_cores
+            + self.owner_cores
+            + self.message_cores
+            + self.upstream_call_cores
+        )
+
+    @property
+    def batched_data_cores(self) -> float:
+        """Return the cores with upstream calls that carry one tick's subqueries each."""
+        return self.data_cores - self.upstream_call_cores + self.batched_call_cores
+
+    @property
+    def state_mb(self) -> float:
+        """Return the memory of what a node remembers, without the interpreter."""
+        return (
+            self.open_request_mb
+            + self.upstream_mb
+            + self.contract_mb
+            + self.peer_mb
+            + self.ticket_mb
+        )
+
+
+def _owners(size: DeploymentSize) -> float:
+    by_connections = max(1, size.connections_per_server // LEAST_CONNECTIONS)
+    return float(min(MOST_OWNERS, by_connections, size.nodes_per_data_centre))
+
+
+def _peers_per_tick(size: DeploymentSize, measured: dict) -> float:
+    """Interpolate the peers that one tick reaches by the measured rows."""
+    rows = measured["batch_spread"]
+    wanted = size.nodes_per_data_centre
+    nearest = min(rows, key=lambda row: abs(row["instances"] - wanted))
+    return nearest["affinity"] * wanted / nearest["instances"]
+
+
+def _platform_calls(size: DeploymentSize) -> float:
+    watchers = WATCHERS_PER_DATA_CENTRE * size.data_centres
+    # Each waiting watch counts as one call; a restart reads twice and watches anew.
+    return watchers + 3.0 * size.restarts_per_day / 86_400.0
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/record.py
@@ -0,0 +1,72 @@
+"""Collect every measurement of the capacity page into one record."""
+
+import platform
+from collections.abc import Callable
+from pathlib import Path
+
+from geraniumlead_standins.capacity.batch_spread import measure_spread
+from geraniumlead_standins.capacity.decision_cpu import (
+    measure_local_query,
+    measure_refused,
+    measure_remote_query,
+)
+from geraniumlead_standins.capacity.fan_out_cpu import measure_fan_out
+from geraniumlead_standins.capacity.fits import build_slope
+from geraniumlead_standins.capacity.idle_instances import measure_idle
+from geraniumlead_standins.capacity.message_cpu import (
+    measure_bytes,
+    measure_coding,
+    measure_transport,
+)
+from geraniumlead_standins.capacity.ownership_moves import measure_moves
+from geraniumlead_standins.capacity.state_memory import measure_state_memory
+from geraniumlead_standins.capacity.tail import measure_tail, needed_quantile
+
+FIRST_PORT = 28_000
+IDLE_FIRST_PORT = 30_000
+FAN_OUTS = ((20, 1_600), (50, 800), (100, 400), (200, 240))
+
+
+def measure_all(folder: Path, tell: Callable[[str], None]) -> dict:
+    """Run every measurement; ``tell`` hears what is being measured."""
+    record: dict = {"python": platform.python_version(), "cpu": platform.machine()}
+    tell("decisions")
+    slopes = {
+        "local_query": build_slope("us", "shard", measure_local_query()),
+        "remote_query": build_slope("us", "shard", measure_remote_query()),
+    }
+    record["refused_us"] = round(measure_refused(), 2)
+    tell("messages")
+    subqueries, results = measure_coding()
+    slopes["coding_subquery"] = build_slope("us", "subquery", subqueries)
+    slopes["coding_result"] = build_slope("us", "result", results)
+    slopes["batch_bytes"] = build_slope("bytes", "subquery", measure_bytes())
+    slopes["message"] = build_slope("us", "byte", measure_transport())
+    tell("memory")
+    for name, points in measure_state_memory().items():
+        slopes[name] = build_slope("bytes", name, points)
+    tell("owners and batches")
+    record["ownership_moves"] = measure_moves()
+    record["batch_spread"] = measure_spread()
+    tell("tail")
+    record["tail"] = measure_tail()
+    record["needed_quantile"] = {
+        str(shards): round(needed_quantile(shards), 8) for shards in (20, 200, 1_200)
+    }
+    tell("idle instances")
+    record["idle"] = measure_idle(folder / "idle", IDLE_FIRST_PORT)
+    tell("fan-out beside the bare one")
+    record["fan_out"] = _measure_fan_outs(folder)
+    points = [(float(row["shards"]), row["instance_us"]) for row in record["fan_out"]]
+    slopes["instance_query"] = build_slope("us", "shard", points)
+    bare = [(float(row["shards"]), row["bare_us"]) for row in record["fan_out"]]
+    slopes["upstream_call"] = build_slope("us", "call", bare)
+    record["slopes"] = slopes
+    return record
+
+
+def _measure_fan_outs(folder: Path) -> list[dict]:
+    return [
+        measure_fan_out(folder / f"fan-out-{shards}", FIRST_PORT + 400 * place, shards, queries)
+        for place, (shards, queries) in enumerate(FAN_OUTS)
+    ]
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/state_memory.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/state_memory.py
@@ -6,16 +6,17 @@
 from random import Random
 
 from geraniumlead.events import QueryArrived
-from geraniumlead.requests import CallerRequest
 from geraniumlead.tickets import TicketBook
-from geraniumlead_standins.capacity.decision_cluster import build_instance
+from geraniumlead_standins.capacity.decision_cluster import build_driver, build_instance
+from geraniumlead_standins.capacity.decision_cpu import build_request
+from geraniumlead_standins.capacity.echo_driver import EchoDriver
 
 UPSTREAM_COUNTS = (100, 400, 1_100, 2_500)
 CONTRACT_COUNTS = (50, 200, 1_000, 3_000)
 PEER_COUNTS = (7, 60, 227, 700)
-OPEN_REQUEST_COUNTS = (100, 400, 1_000, 2_000)
 TICKET_COUNTS = (1_000, 5_000, 20_000, 50_000)
-OPEN_REQUEST_SHARDS = 20
+FAN_OUTS = (20, 100, 400, 1_200)
+REQUESTS_A_FAN_OUT = 20
 
 
 def measure_state_memory() -> dict[str, list[tuple[float, float]]]:
@@ -24,40 +25,39 @@
         "upstream": _measure(UPSTREAM_COUNTS, lambda count: build_instance(count)),
         "contract": _measure(CONTRACT_COUNTS, lambda count: build_instance(20, 1, count)),
         "peer": _measure(PEER_COUNTS, lambda count: build_instance(20, count)),
-        "open_request": _measure(OPEN_REQUEST_COUNTS, _open_requests),
+        "open_shard": [
+            (float(shards), _measure_open(shards) / REQUESTS_A_FAN_OUT) for shards in FAN_OUTS
+        ],
         "ticket": _measure(TICKET_COUNTS, _issue_tickets),
     }
 
 
 def _measure(counts: tuple[int, ...], build: Callable[[int], object]) -> list:
-    points = []
-    for count in counts:
-        gc.collect()
-        tracemalloc.start()
-        before, _ = tracemalloc.get_traced_memory()
-        held = build(count)
-        gc.collect()
-        after, _ = tracemalloc.get_traced_memory()
-        tracemalloc.stop()
-        points.append((float(count), float(after - before)))
-        del held
-    return points
+    return [(float(count), _measure_one(lambda count=count: build(count))) for count in counts]
 
 
-def _open_requests(count: int) -> object:
-    instance = build_instance(OPEN_REQUEST_SHARDS)
-    held = [instance]
+def _measure_one(build: Callable[[], object]) -> float:
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    held = build()
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return float(after - before)
+
+
+def _measure_open(shards: int) -> float:
+    driver = build_driver(shards)
+    return _measure_one(lambda: _open_requests(driver, REQUESTS_A_FAN_OUT))
+
+
+def _open_requests(driver: EchoDriver, count: int) -> list:
+    held: list = []
     for number in range(count):
-        request = CallerRequest(
-            request_id=f"r{number}",
-            customer="customer-0",
-            class_name="lookup",
-            query=b'{"text":"member %d"}' % number,
-            arrived_ms=0.0,
-            deadline_ms=10_000.0,
-            least_coverage=1.0,
-        )
-        held += instance.handle(QueryArrived(request), 0.0)
+        request = build_request(f"r{number}", "customer-0", driver.now_ms)
+        held += driver.instance.handle(QueryArrived(request), driver.now_ms)
     return held
 
 
