Show upstreams and services in the status; bound the fan-out

The status lists the upstreams that an instance called and all that operators took out, each with what keeps it from full use. A plan of more than fan_out_shards shards is refused as not run (422), since it would hold the loop for all other callers.

--- a/packages/geraniumlead-server/src/geraniumlead_server/callers/rendering.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/callers/rendering.py
@@ -16,6 +16,7 @@
     RefusalReason.TICKET_NEEDED: falcon.HTTP_400,
     RefusalReason.TICKET_INVALID: falcon.HTTP_400,
     RefusalReason.TICKET_EXPIRED: falcon.HTTP_410,
+    RefusalReason.FAN_OUT: falcon.HTTP_422,
     RefusalReason.RATE: falcon.HTTP_429,
     RefusalReason.CONCURRENCY: falcon.HTTP_429,
     RefusalReason.HOT_KEY: falcon.HTTP_429,
--- a/packages/geraniumlead-server/src/geraniumlead_server/telemetry/metrics.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/telemetry/metrics.py
@@ -8,6 +8,7 @@
 
 from geraniumlead.actions import AnswerCaller
 from geraniumlead.instance import Instance
+from geraniumlead.instance.status import InstanceStatus
 from geraniumlead.requests import Answered, Failed, NotRun, Unknown
 from geraniumlead_server.telemetry.label_book import LabelBook
 
@@ -15,6 +16,9 @@
 COVERAGE_BOUNDS = (0.0, 0.5, 0.8, 0.9, 0.95, 0.98, 0.99, 0.995, 0.999, 1.0)
 FAN_OUT_BOUNDS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1200, 4096)
 
+STATUS_HOLDS_MS = 50.0
+"""One page asks for the status once a gauge; they come within this time."""
+
 
 class RequestMetrics:
     """Take every answer, and read the instance when the page is asked for."""
@@ -24,6 +28,8 @@
     ) -> None:
         self._instance = instance
         self._now_ms = now_ms
+        self._status: InstanceStatus | None = None
+        self._status_ms = 0.0
         self._labels = LabelBook()
         meter = MeterProvider([reader], shutdown_on_exit=False).get_meter("geraniumlead")
         self._latency = meter.create_histogram(
@@ -58,6 +64,8 @@
             ("geraniumlead_config_revision", lambda status: status.revision),
             ("geraniumlead_config_age_ms", lambda status: status.platform_age_ms),
             ("geraniumlead_refused_documents", lambda status: len(status.refused_documents)),
+            ("geraniumlead_called_upstreams", lambda status: len(status.upstreams)),
+            ("geraniumlead_cold_upstreams", _count_cold),
             ("geraniumlead_ready", lambda status: int(status.ready)),
             ("geraniumlead_reachable_peers", lambda status: sum(status.peers.values())),
         ):
@@ -80,14 +88,24 @@
         if isinstance(answer.outcome, Answered):
             self._coverage.record(answer.outcome.coverage.share, labels)
 
+    def _read_status(self) -> InstanceStatus:
+        now_ms = self._now_ms()
+        if self._status is None or now_ms - self._status_ms > STATUS_HOLDS_MS:
+            self._status, self._status_ms = self._instance.status(now_ms), now_ms
+        return self._status
+
     def _observer_of(self, read: Callable) -> Callable[[CallbackOptions], Iterable[Observation]]:
         def observe(options: CallbackOptions) -> Iterable[Observation]:
-            value = read(self._instance.status(self._now_ms()))
+            value = read(self._read_status())
             return [] if value is None else [Observation(value)]
 
         return observe
 
 
+def _count_cold(status: InstanceStatus) -> int:
+    return sum("cold" in found.conditions for found in status.upstreams.values())
+
+
 def outcome_name(answer: AnswerCaller) -> str:
     """Return the outcome as callers read it."""
     match answer.outcome:
--- a/packages/geraniumlead-server/tests/server_tests/callers/test_queries.py
+++ b/packages/geraniumlead-server/tests/server_tests/callers/test_queries.py
@@ -4,6 +4,7 @@
 
 from falcon.testing import ASGIConductor
 
+from geraniumlead.settings import LimitSettings
 from geraniumlead_server.callers import build_callers_app
 from server_tests.builders import CREDENTIAL, build_driver
 
@@ -67,6 +68,14 @@
         self.assertEqual(result.status_code, 413)
         self.assertEqual(result.headers["connection"], "close")
 
+    async def test_refuses_a_query_of_too_many_shards(self):
+        app = build_callers_app(build_driver(limits=LimitSettings(fan_out_shards=2)))
+        async with ASGIConductor(app) as conductor:
+            result = await conductor.simulate_post(
+                "/v1/queries", body=GOOD_BODY, headers=AUTHORIZED
+            )
+        self.assertEqual((result.status_code, result.json["reason"]), (422, "fan_out"))
+
     async def test_a_booking_needs_a_ticket(self):
         body = b'{"class":"booking","query":{},"key":"k"}'
         result = await self.post(body)
--- a/packages/geraniumlead-server/tests/server_tests/operators/test_app.py
+++ b/packages/geraniumlead-server/tests/server_tests/operators/test_app.py
@@ -36,6 +36,12 @@
         result = await self.get("/v1/status")
         self.assertEqual((result.json["revision"], result.json["ready"]), (7, True))
 
+    async def test_shows_the_upstreams_that_were_called(self):
+        await self.ask("mine.1")
+        upstreams = (await self.get("/v1/status")).json["upstreams"]
+        self.assertEqual(set(upstreams), {"ledger-0", "ledger-1", "ledger-2"})
+        self.assertEqual(upstreams["ledger-0"]["data_centre"], "noord")
+
     async def test_shows_documents_without_digests(self):
         result = await self.get("/v1/documents?kind=contracts")
         contract = result.json["documents"]["geraniumlead/contracts/acme"]
--- a/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
@@ -140,6 +140,10 @@
         """Return when ``wake`` has to be called."""
         return min(self._due_ms.values()) if self._due_ms else None
 
+    def gates(self) -> tuple[UpstreamGate, ...]:
+        """Return the gates of the upstreams that were called, for status."""
+        return tuple(self._gates.values())
+
     def has_free_cold_slot(self, upstream_id: str, now_ms: float) -> bool:
         """Return whether a call would start at once on this instance's cold slot."""
         gate = self._gate_for(upstream_id)
--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -21,6 +21,7 @@
 from geraniumlead.instance.parts import InstanceParts
 from geraniumlead.instance.request_handler import RequestHandler
 from geraniumlead.instance.status import InstanceStatus
+from geraniumlead.instance.upstream_report import report_services, report_upstreams
 from geraniumlead.peers import (
     CancelBatch,
     DocumentsUpdate,
@@ -102,6 +103,7 @@
         parts = self.parts
         heard_ms = self._configuration.platform_heard_ms
         view = parts.store.view
+        upstreams = report_upstreams(parts, now_ms)
         return InstanceStatus(
             instance_id=parts.settings.instance_id,
             incarnation=parts.incarnation,
@@ -117,6 +119,8 @@
             },
             data_centres={name: found.state for name, found in view.data_centres.items()},
             is_watcher=self._configuration.watching,
+            services=report_services(upstreams),
+            upstreams=upstreams,
         )
 
     def _take_message(self, sender_id: str, message: PeerMessage, now_ms: float) -> None:
--- a/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
@@ -111,6 +111,10 @@
         if plan is None:
             self._refuse_admitted(request, RefusalReason.NO_INDEX, now_ms)
             return
+        if len(plan.shards) > parts.settings.limits.fan_out_shards:
+            # One such query would hold the loop, and all other callers with it.
+            self._refuse_admitted(request, RefusalReason.FAN_OUT, now_ms)
+            return
         if request.ticket is not None:
             parts.tickets.start(request)
         steps = parts.coordinator.start(request, traffic_class, plan, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/instance/status.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/status.py
@@ -1,6 +1,8 @@
 """Define the status that operators see of one instance."""
 
-from msgspec import Struct
+from msgspec import Struct, field
+
+from geraniumlead.instance.upstream_status import ServiceStatus, UpstreamStatus
 
 
 class InstanceStatus(Struct, frozen=True, kw_only=True):
@@ -18,3 +20,5 @@
     peers: dict[str, bool]
     data_centres: dict[str, str]
     is_watcher: bool
+    services: dict[str, ServiceStatus] = field(default_factory=dict)
+    upstreams: dict[str, UpstreamStatus] = field(default_factory=dict)
--- a/packages/geraniumlead/src/geraniumlead/requests/reasons.py
+++ b/packages/geraniumlead/src/geraniumlead/requests/reasons.py
@@ -21,6 +21,7 @@
     TICKET_NEEDED = "ticket_needed"
     TICKET_INVALID = "ticket_invalid"
     HOT_KEY = "hot_key"
+    FAN_OUT = "fan_out"
 
 
 class MissingReason(StrEnum):
