--- /dev/null
+++ b/packages/geraniumlead-client/src/geraniumlead_client/addresses.py
@@ -0,0 +1,28 @@
+"""Take the operators' addresses of instances from the command line."""
+
+from argparse import ArgumentParser, Namespace
+from pathlib import Path
+
+
+def add_address_arguments(parser: ArgumentParser) -> None:
+    """Add the arguments that say which instances to ask."""
+    parser.add_argument(
+        "--address",
+        action="append",
+        default=[],
+        metavar="IP:PORT",
+        help="operators' address of an instance; may be given several times",
+    )
+    parser.add_argument(
+        "--addresses", type=Path, metavar="FILE", help="file of addresses, one a line"
+    )
+    parser.add_argument("--json", action="store_true", help="print JSON for programs")
+
+
+def read_addresses(arguments: Namespace) -> list[str]:
+    """Return all addresses, each once, in their order."""
+    addresses = list(arguments.address)
+    if arguments.addresses is not None:
+        lines = (line.strip() for line in arguments.addresses.read_text().splitlines())
+        addresses += [line for line in lines if line and not line.startswith("#")]
+    return list(dict.fromkeys(addresses))
--- /dev/null
+++ b/packages/geraniumlead-client/src/geraniumlead_client/commands/__init__.py
@@ -0,0 +1,21 @@
+"""List the commands, one in each module."""
+
+from geraniumlead_client.commands.check import CheckCommand
+from geraniumlead_client.commands.contracts import ContractsCommand
+from geraniumlead_client.commands.data_centre import DataCentreCommand
+from geraniumlead_client.commands.explain import ExplainCommand
+from geraniumlead_client.commands.instance import InstanceCommand
+from geraniumlead_client.commands.load import LoadCommand
+from geraniumlead_client.commands.schema import SchemaCommand
+from geraniumlead_client.commands.status import StatusCommand
+
+COMMANDS = (
+    CheckCommand(),
+    SchemaCommand(),
+    StatusCommand(),
+    ContractsCommand(),
+    ExplainCommand(),
+    DataCentreCommand(),
+    InstanceCommand(),
+    LoadCommand(),
+)
--- /dev/null
+++ b/packages/geraniumlead-client/src/geraniumlead_client/fleet_status.py
@@ -0,0 +1,120 @@
+"""Put the statuses of many instances together."""
+
+from dataclasses import dataclass, field
+
+from geraniumlead_client.operators_api import Reply
+
+OLD_CONFIGURATION_MS = 30_000
+"""A watch brings a sign of life every few seconds, so that older news means no platform."""
+
+WHY = {
+    "unproven": "not called lately, so it may have restarted",
+    "cold": "showed a sign of cold start",
+    "warming": "answers warm and is given more step by step",
+    "draining": "said that it is leaving",
+    "suspected": "answers late",
+    "leaving": "published as leaving",
+    "out": "its data centre was taken out",
+}
+
+
+@dataclass(slots=True)
+class FleetStatus:
+    """Hold the answers of all instances that were asked."""
+
+    statuses: list[dict]
+    unreachable: list[Reply]
+    problems: list[str] = field(default_factory=list)
+
+    @classmethod
+    def from_replies(cls, replies: list[Reply]) -> "FleetStatus":
+        """Sort the replies and find what is wrong."""
+        statuses = [reply.body for reply in replies if reply.body is not None]
+        unreachable = [reply for reply in replies if reply.body is None]
+        fleet = cls(statuses, unreachable)
+        fleet.problems = fleet._find_problems()
+        return fleet
+
+    def instance_rows(self) -> list[list[object]]:
+        """Return one row for each instance, those without an answer last."""
+        rows = [
+            [
+                status["instance_id"],
+                status["data_centre"],
+                status["ready"],
+                status["revision"],
+                _round(status["platform_age_ms"]),
+                status["is_watcher"],
+                status["open_requests"],
+                f"{sum(status['peers'].values())} of {len(status['peers'])}",
+            ]
+            for status in self.statuses
+        ]
+        unknown = [None] * 6
+        return rows + [[reply.address, "unreachable", *unknown] for reply in self.unreachable]
+
+    def data_centre_rows(self) -> list[list[object]]:
+        """Return one row for each data centre; instances that disagree show as several."""
+        states: dict[str, set[str]] = {}
+        for status in self.statuses:
+            for name, state in status["data_centres"].items():
+                states.setdefault(name, set()).add(state)
+        return [
+            [name, " or ".join(sorted(found)), self._count_ready(name)]
+            for name, found in sorted(states.items())
+        ]
+
+    def upstream_rows(self) -> list[list[object]]:
+        """Return one row for each upstream that is not in full use."""
+        merged: dict[tuple[str, str], list] = {}
+        for status in self.statuses:
+            for upstream_id, found in status.get("upstreams", {}).items():
+                for condition in found["conditions"]:
+                    row = merged.setdefault((upstream_id, condition), [found, 0, 0, 0])
+                    row[1] += 1
+                    row[2] += found["in_flight"]
+                    row[3] += found["waiting"]
+        return [
+            [
+                upstream_id,
+                found["service"],
+                found["data_centre"],
+                f"{condition}: {WHY.get(condition, '')}",
+                seen_by,
+                in_flight,
+                waiting,
+            ]
+            for (upstream_id, condition), (found, seen_by, in_flight, waiting) in sorted(
+                merged.items(), key=lambda item: item[0]
+            )
+        ]
+
+    def to_builtins(self) -> dict:
+        """Return everything for JSON."""
+        return {
+            "instances": self.statuses,
+            "unreachable": {reply.address: reply.error for reply in self.unreachable},
+            "problems": self.problems,
+        }
+
+    def _find_problems(self) -> list[str]:
+        problems = [f"{reply.address} does not answer: {reply.error}" for reply in self.unreachable]
+        revisions = {status["revision"] for status in self.statuses}
+        if len(revisions) > 1:
+            problems.append(f"revisions {min(revisions)} to {max(revisions)} are in force")
+        for status in self.statuses:
+            name = status["instance_id"]
+            age_ms = status["platform_age_ms"]
+            if status["is_watcher"] and (age_ms is None or age_ms > OLD_CONFIGURATION_MS):
+                problems.append(f"{name} has not heard from the platform lately")
+            for key, reason in status["refused_documents"].items():
+                problems.append(f"{name} refused {key}: {reason}")
+        return problems
+
+    def _count_ready(self, data_centre: str) -> str:
+        here = [status for status in self.statuses if status["data_centre"] == data_centre]
+        return f"{sum(status['ready'] for status in here)} of {len(here)}"
+
+
+def _round(value: float | None) -> int | None:
+    return None if value is None else round(value)
--- a/packages/geraniumlead-server/src/geraniumlead_server/main.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/main.py
@@ -7,6 +7,7 @@
 
 from msgspec import DecodeError
 
+from geraniumlead.checks import find_refusal
 from geraniumlead.settings import InstanceSettings
 from geraniumlead_server.daemon import Daemon
 from geraniumlead_server.logs import configure_logging
@@ -22,22 +23,35 @@
     return parser
 
 
-def load_settings(path: Path) -> InstanceSettings | str:
-    """Return the settings in a file, or what is wrong with it."""
+def load_settings(path: Path) -> InstanceSettings | list[str]:
+    """Return the settings in a file, or all that is wrong with it, a line each."""
     try:
-        return InstanceSettings.from_json(path.read_bytes())
+        text = path.read_bytes()
     except OSError as error:
-        return f"cannot read {path}: {error.strerror}"
-    except DecodeError as error:
-        return f"{path}: {error}"
+        return [f"cannot read {path}: {error.strerror}"]
+    try:
+        settings = InstanceSettings.from_json(text)
+    except (DecodeError, RecursionError):
+        return explain_errors(path, text)
+    return explain_errors(path, text) if find_refusal(settings) else settings
+
+
+def explain_errors(path: Path, text: bytes) -> list[str]:
+    """Return every error of a settings file."""
+    # Loaded only for a bad file: a daemon that runs has no use for the schema library.
+    from geraniumlead.file_checks import check_text
+
+    findings = check_text(str(path), text, kind="settings").findings
+    return [f"{name}: {message.to_text()}" for name, message in findings]
 
 
-def main() -> int:
+def main(argv: list[str] | None = None) -> int:
     """Run until SIGTERM; exit 2 for bad settings."""
-    arguments = build_parser().parse_args()
+    arguments = build_parser().parse_args(argv)
     settings = load_settings(arguments.settings)
-    if isinstance(settings, str):
-        print(f"geraniumleadd: {settings}", file=sys.stderr)
+    if isinstance(settings, list):
+        for line in settings:
+            print(f"geraniumleadd: {line}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     if arguments.check:
         return 0
