--- a/packages/geraniumlead-server/src/geraniumlead_server/daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/daemon.py
@@ -99,7 +99,7 @@
                 self._peers.send(action)
             case ReadPlatform(stop=True):
                 self._platform.stop()
-            case ReadPlatform(watch=True):
-                self._platform.watch()
-            case ReadPlatform():
-                self._platform.read_once()
+            case ReadPlatform(watch=True, read_number=number):
+                self._platform.watch(number)
+            case ReadPlatform(read_number=number):
+                self._platform.read_once(number)
--- a/packages/geraniumlead/src/geraniumlead/instance/status.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/status.py
@@ -22,3 +22,5 @@
     is_watcher: bool
     services: dict[str, ServiceStatus] = field(default_factory=dict)
     upstreams: dict[str, UpstreamStatus] = field(default_factory=dict)
+    view_unconfirmed_ms: float | None = None
+    held_requests: int = 0
