--- a/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
@@ -152,6 +152,10 @@
         """Return when ``wake`` has to be called."""
         return min(self._due_ms.values()) if self._due_ms else None
 
+    def gates(self) -> tuple[UpstreamGate, ...]:
+        """Return the gates of the upstreams that were called, for status."""
+        return tuple(self._gates.values())
+
     def warm_upstreams_of(self, owner_id: str, now_ms: float) -> list[str]:
         """Return the upstreams that another owner may take for warm, too."""
         return [
