--- a/packages/geraniumlead/src/geraniumlead/configuration/document_store.py
+++ b/packages/geraniumlead/src/geraniumlead/configuration/document_store.py
@@ -81,6 +81,11 @@
             self.view = ClusterView.from_documents(list(self._documents.values()))
         return StoreChange(tuple(taken), tuple(refused), tuple(conflicts), is_forked)
 
+    def revision_of(self, key: str) -> int:
+        """Return the newest revision of one document, or 0 when it was never seen."""
+        held = self._newest.get(key)
+        return 0 if held is None else held.revision
+
     def documents_above(self, revision: int) -> tuple[VersionedValue, ...]:
         """Return every value and deletion with a higher revision, for a peer that lags.
 
--- a/packages/geraniumlead/src/geraniumlead/freshness/view_freshness.py
+++ b/packages/geraniumlead/src/geraniumlead/freshness/view_freshness.py
@@ -37,6 +37,7 @@
 
     __slots__ = (
         "_asked",
+        "_has_asked",
         "_heard_fresh",
         "_highest_revision",
         "_last_ms",
@@ -76,7 +77,8 @@
         return True
 
     def note_asked(self, peer_ids: list[str]) -> None:
-        """Note whom this round's probes were sent to."""
+        """Note whom this round's probes were sent to, out of a published list."""
+        self._has_asked = True
         self._asked.update(peer_ids)
 
     def take_reply(self, sender_id: str, nonce: int, revision: int, is_fresh: bool) -> bool:
@@ -93,6 +95,9 @@
         """Take in a read of the platform; one that is behind this instance confirms nothing."""
         if number == self.read_number and revision >= own_revision:
             self._platform_heard = True
+        if not self._has_asked:
+            # The first documents name the peers: ask them now, not a round later.
+            self.next_round_ms = float("-inf")
 
     def is_round_due(self, now_ms: float) -> bool:
         """Return whether peers should be asked now, and plan the next round."""
@@ -127,8 +132,10 @@
     def _is_settled(self, own_revision: int, now_ms: float) -> bool:
         if not self._has_source() or own_revision < self._highest_revision:
             return False
-        waited_ms = now_ms - self.unconfirmed_since_ms
-        return self._asked <= self._replied or waited_ms >= self._settle_ms
+        # Before anybody was asked, nobody's silence counts as agreement: a new instance would
+        # turn ready with what a stale platform told it, one round before it learns better.
+        all_replied = self._has_asked and self._asked <= self._replied
+        return all_replied or now_ms - self.unconfirmed_since_ms >= self._settle_ms
 
     def _begin(self, now_ms: float, settle_ms: float) -> None:
         self.is_confirmed, self.is_alone = False, False
@@ -138,6 +145,7 @@
         self.read_number += 1
         self.nonce = self._random.getrandbits(NONCE_BITS) or 1
         self._settle_ms = settle_ms
+        self._has_asked = False
         self._asked: set[str] = set()
         self._replied: set[str] = set()
         self._heard_fresh = False
--- a/packages/geraniumlead/src/geraniumlead/instance/call_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/call_handler.py
@@ -1,8 +1,9 @@
 """Carry out the steps of the coordinator and the dispatcher."""
 
 from geraniumlead.actions import AnswerCaller, CallUpstream, CancelCall
+from geraniumlead.cold_start import WarmthPhase
 from geraniumlead.coordination import AskUpstream, CoordinationStep, DropCall, EndQuery
-from geraniumlead.dispatch import DispatchStep, EndCall, StartCall, StopCall
+from geraniumlead.dispatch import DispatchStep, EndCall, StartCall, StopCall, TellOwners
 from geraniumlead.events import UpstreamAnswered
 from geraniumlead.instance.held_steps import HeldSteps
 from geraniumlead.instance.parts import InstanceParts
@@ -12,6 +13,7 @@
     SubqueryResult,
     SubqueryResultBatch,
     TicketedAnswer,
+    UpstreamNotice,
 )
 from geraniumlead.requests import CallerRequest, Outcome
 from geraniumlead.routing import Route
@@ -63,7 +65,29 @@
         """Cancel a peer's subqueries."""
         for call_id in call_ids:
             self._peer_calls.discard(call_id)
-            self.run_dispatch(self._parts.dispatcher.cancel(call_id, "", now_ms), now_ms)
+            self.run_dispatch(self._parts.dispatcher.cancel(call_id, now_ms), now_ms)
+
+    def hand_over_warmth(self, peer_id: str, now_ms: float) -> None:
+        """Tell a new process which of the upstreams that it owns too were shown warm.
+
+        Without this a replaced instance takes every upstream for unproven, and its callers
+        wait for slot holders until each has answered once.
+        """
+        for upstream_id in self._parts.dispatcher.warm_upstreams_of(peer_id, now_ms):
+            self._parts.send(peer_id, UpstreamNotice(upstream_id, WarmthPhase.WARM, 0.0))
+
+    def take_disconnection(self, upstream_id: str, now_ms: float) -> None:
+        """Note that an upstream closed its connections, which a restart does."""
+        self.run_dispatch(self._parts.dispatcher.note_disconnected(upstream_id, now_ms), now_ms)
+
+    def take_notice(self, notice: UpstreamNotice, now_ms: float) -> None:
+        """Take in what another owner saw of an upstream."""
+        steps = self._parts.dispatcher.note_told(notice.upstream_id, notice.state, now_ms)
+        self.run_dispatch(steps, now_ms)
+
+    def wake_dispatch(self, now_ms: float) -> None:
+        """Start the calls that waited for a time to come."""
+        self.run_dispatch(self._parts.dispatcher.wake(now_ms), now_ms)
 
     def hold_unsent(self, now_ms: float) -> None:
         """Hold the subqueries that a pause caught before their batch was sent."""
@@ -104,7 +128,7 @@
                     pass
                 case DropCall(call_id=call_id, route=route):
                     if route.owner_id is None:
-                        stopped = parts.dispatcher.cancel(call_id, route.upstream_id, now_ms)
+                        stopped = parts.dispatcher.cancel(call_id, now_ms)
                         self.run_dispatch(stopped, now_ms)
                     else:
                         parts.batcher.add_cancel(route.owner_id, call_id, now_ms)
@@ -122,6 +146,8 @@
                     self._start_call(step, step.timeout_ms)
                 case StopCall(call_id=call_id) if self._held.drop_start(call_id):
                     pass
+                case TellOwners():
+                    self._tell_owners(step)
                 case StopCall(call_id=call_id):
                     parts.actions.append(CancelCall(call_id))
                 case EndCall(origin=None, call_id=call_id, answer=answer):
@@ -158,11 +184,21 @@
             )
         )
 
+    def _tell_owners(self, step: TellOwners) -> None:
+        notice = UpstreamNotice(step.upstream_id, step.phase, 0.0)
+        for owner_id in step.owner_ids:
+            self._parts.send(owner_id, notice)
+
     def _start_call(self, step: StartCall, timeout_ms: float) -> None:
         subquery = step.subquery
         self._parts.actions.append(
             CallUpstream(
-                subquery.call_id, step.entry.address, subquery, timeout_ms, step.connections
+                subquery.call_id,
+                step.entry.address,
+                subquery,
+                timeout_ms,
+                step.connections,
+                step.overdue_ms,
             )
         )
 
--- a/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
@@ -2,6 +2,7 @@
 
 from geraniumlead.actions import ReadPlatform, Report
 from geraniumlead.configuration import DivergenceWatch, StoreChange
+from geraniumlead.documents import DocumentKind, document_key
 from geraniumlead.events import DocumentsReceived, PlatformSilent
 from geraniumlead.instance.call_handler import CallHandler
 from geraniumlead.instance.parts import InstanceParts
@@ -92,8 +93,15 @@
         self, sender_id: str, message: Heartbeat | Goodbye, now_ms: float
     ) -> None:
         """Note that a peer lives or leaves; ask it for documents that are news here."""
-        peer = self._parts.membership.hear(sender_id, message, now_ms)
-        if peer is not None and isinstance(message, Heartbeat):
+        membership = self._parts.membership
+        known = membership.peers.get(sender_id)
+        known_incarnation = None if known is None else known.incarnation
+        peer = membership.hear(sender_id, message, now_ms)
+        if peer is None:
+            return
+        if peer.incarnation != known_incarnation:
+            self._calls.hand_over_warmth(sender_id, now_ms)
+        if isinstance(message, Heartbeat):
             self._compare(sender_id, message, now_ms)
 
     def _compare(self, sender_id: str, heartbeat: Heartbeat, now_ms: float) -> None:
@@ -149,7 +157,9 @@
         parts.admission.update(view)
         parts.router.update(view, owners)
         parts.coordinator.update(view)
-        self._calls.run_dispatch(parts.dispatcher.update(view, owners, now_ms), now_ms)
+        list_key = document_key(DocumentKind.INSTANCE_LIST, parts.settings.data_centre)
+        steps = parts.dispatcher.update(view, owners, parts.store.revision_of(list_key), now_ms)
+        self._calls.run_dispatch(steps, now_ms)
         wanted = parts.membership.is_watcher()
         if wanted != self.watching:
             self.watching = wanted
--- a/packages/geraniumlead/src/geraniumlead/instance/freshness_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/freshness_handler.py
@@ -75,7 +75,8 @@
         asked = self._choose_peers()
         for peer_id in asked:
             parts.send(peer_id, Probe(parts.freshness.nonce, parts.store.revision))
-        parts.freshness.note_asked(asked)
+        if parts.is_configured:
+            parts.freshness.note_asked(asked)
         if self._reads_now():
             self._configuration.read_anew()
 
--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -14,6 +14,7 @@
     TicketAsked,
     TimerFired,
     UpstreamAnswered,
+    UpstreamDisconnected,
 )
 from geraniumlead.instance.call_handler import CallHandler
 from geraniumlead.instance.configuration_handler import ConfigurationHandler
@@ -36,6 +37,7 @@
     SubqueryResultBatch,
     TicketedAnswer,
     TicketedRequest,
+    UpstreamNotice,
 )
 from geraniumlead.settings import InstanceSettings
 
@@ -77,6 +79,7 @@
     def handle(self, event: Event, now_ms: float) -> list[Action]:
         """Take in one event and return what follows from it, in order."""
         self._freshness.note_time(now_ms)
+        self.parts.cold_start.tick(now_ms)
         match event:
             case QueryArrived(request=request):
                 self._requests.take_request(request, now_ms)
@@ -86,6 +89,8 @@
                 self._requests.drop_caller(request_id, now_ms)
             case UpstreamAnswered():
                 self._calls.take_answer(event, now_ms)
+            case UpstreamDisconnected(upstream_id=upstream_id):
+                self._calls.take_disconnection(upstream_id, now_ms)
             case PeerMessageReceived(sender_id=sender_id, message=message):
                 self._take_message(sender_id, message, now_ms)
             case DocumentsReceived():
@@ -108,6 +113,7 @@
             self.parts.coordinator.next_wake_ms(),
             self.parts.admission.next_wake_ms(),
             self.parts.batcher.next_wake_ms(),
+            self.parts.dispatcher.next_wake_ms(),
             self.parts.tickets.next_wake_ms(),
             self.parts.freshness.next_wake_ms(),
             self._requests.held.next_wake_ms(),
@@ -152,16 +158,23 @@
                 self._configuration.give_documents(sender_id, message)
             case DocumentsUpdate():
                 self._configuration.take_update(sender_id, message, now_ms)
-            case SubqueryBatch():
-                self._calls.take_subqueries(sender_id, message, now_ms)
             case Probe():
                 self._freshness.answer_probe(sender_id, message)
             case ProbeReply():
                 self._freshness.take_reply(sender_id, message)
+            case _:
+                self._take_work(sender_id, message, now_ms)
+
+    def _take_work(self, sender_id: str, message: PeerMessage, now_ms: float) -> None:
+        match message:
+            case SubqueryBatch():
+                self._calls.take_subqueries(sender_id, message, now_ms)
             case SubqueryResultBatch():
                 self._calls.take_results(message, now_ms)
             case CancelBatch(call_ids=call_ids):
                 self._calls.cancel(call_ids, now_ms)
+            case UpstreamNotice():
+                self._calls.take_notice(message, now_ms)
             case TicketedRequest():
                 self._requests.take_forwarded(sender_id, message, now_ms)
             case TicketedAnswer():
@@ -171,6 +184,7 @@
         self._freshness.run(now_ms)
         self._requests.expire_held(now_ms)
         self._calls.run_coordination(self.parts.coordinator.expire(now_ms), now_ms)
+        self._calls.wake_dispatch(now_ms)
         self._requests.take_ready(now_ms)
         self._requests.expire_forwarded(now_ms)
         if self._heartbeats.beat_if_due(now_ms, self._configuration.contact.age_ms(now_ms)):
--- a/packages/geraniumlead/src/geraniumlead/instance/parts.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/parts.py
@@ -4,6 +4,7 @@
 
 from geraniumlead.actions import Action, SendToPeer
 from geraniumlead.admission import AdmissionController
+from geraniumlead.cold_start import ColdStartGuard, ViewConfirmation
 from geraniumlead.configuration import DocumentStore
 from geraniumlead.coordination import QueryCoordinator
 from geraniumlead.dispatch import Dispatcher
@@ -31,6 +32,7 @@
         "actions",
         "admission",
         "batcher",
+        "cold_start",
         "coordinator",
         "dispatcher",
         "freshness",
@@ -55,9 +57,13 @@
         self.lifecycle = Lifecycle(settings.timing)
         self.freshness = ViewFreshness(settings.timing.pause_gap_ms, random, now_ms)
         self.admission = AdmissionController(settings.limits, instance_id, random)
-        self.router = Router(instance_id, data_centre, self.membership, random)
+        confirmation = ViewConfirmation(self.membership, self.store)
+        self.cold_start = ColdStartGuard(instance_id, settings.timing, confirmation)
+        self.dispatcher = Dispatcher(instance_id, self.cold_start)
+        self.router = Router(
+            instance_id, data_centre, self.membership, self.dispatcher, self.cold_start, random
+        )
         self.coordinator = QueryCoordinator(f"{instance_id}.{self.incarnation}.", self.router)
-        self.dispatcher = Dispatcher(instance_id)
         self.batcher = PeerBatcher(settings.timing.batch_tick_ms)
         self.tickets = TicketDesk.from_settings(settings, self.incarnation, random)
 
