--- a/packages/geraniumlead/src/geraniumlead/admission/concurrency_limit.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/concurrency_limit.py
@@ -15,14 +15,14 @@
 MOST_SHRINK = 0.7
 
 SATURATED_SHARE = 0.5
-PROBE_SHARE = 0.5
+PROBE_SHARE = 0.25
 FIRST_PROBE_MS = 500.0
 MOST_PROBE_MS = 15_000.0
 NEWS_SHARE = 0.9
-"""Under lasting load nobody sees the unloaded latency; half the limit for one window shows
-it. A probe that finds less than nine tenths of the known latency is news, and the next one
-follows soon; each that finds none doubles the time, up to one window in 150, a third of a
-percent of the capacity."""
+"""Under lasting load nobody sees the unloaded latency; a quarter of the limit, well below
+the concurrency that fills the upstreams, shows it within one window. A probe that finds less
+than nine tenths of the known latency is news, and the next one follows soon; each that finds
+none doubles the time, up to one window in 150, at half a percent of the capacity."""
 
 
 class ConcurrencyLimit:
@@ -41,13 +41,14 @@
     __slots__ = (
         "_baselines",
         "_closes_ms",
+        "_latencies",
         "_latency_sum",
         "_mean_ms",
         "_peak",
+        "_probe_began_ms",
         "_probe_due_ms",
         "_probe_every_ms",
         "_probing",
-        "_latencies",
         "_samples",
         "_value",
     )
@@ -62,6 +63,7 @@
         self._mean_ms = 0.0
         self._peak = 0.0
         self._probing = False
+        self._probe_began_ms = 0.0
         self._probe_every_ms = FIRST_PROBE_MS
         self._probe_due_ms = FIRST_PROBE_MS
 
@@ -82,8 +84,11 @@
         """Return the cost a second that the limit lets through, by Little's law."""
         return 0.0 if self._mean_ms <= 0.0 else 1000.0 * self._value / self._mean_ms
 
-    def observe(self, kind: str, latency_ms: float, now_ms: float) -> None:
+    def observe(self, kind: str, started_ms: float, now_ms: float) -> None:
         """Take in the latency of one request that was served."""
+        if started_ms < self._probe_began_ms:
+            return
+        latency_ms = now_ms - started_ms
         self._latencies.setdefault(kind, []).append(latency_ms)
         self._samples += 1
         self._latency_sum += latency_ms
@@ -110,6 +115,9 @@
             if not was_full:
                 self._probe_due_ms = now_ms + self._probe_every_ms
             self._probing = was_full and now_ms >= self._probe_due_ms
+            if self._probing:
+                # What started before the probe would show the load that it had.
+                self._probe_began_ms = now_ms
         self._samples, self._latency_sum, self._peak = 0, 0.0, 0.0
         self._closes_ms = now_ms + WINDOW_MS
 
--- a/packages/geraniumlead/src/geraniumlead/admission/controller.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/controller.py
@@ -134,7 +134,7 @@
         pool.end(item, now_ms)
         match outcome:
             case Answered() | Failed():
-                pool.limit.observe(item.kind, now_ms - item.started_ms, now_ms)
+                pool.limit.observe(item.kind, item.started_ms, now_ms)
             case NotRun(reason=RefusalReason.UPSTREAM_SHED):
                 pool.limit.note_shed()
 
