--- a/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
@@ -93,8 +93,15 @@
         self, sender_id: str, message: Heartbeat | Goodbye, now_ms: float
     ) -> None:
         """Note that a peer lives or leaves; ask it for documents that are news here."""
-        peer = self._parts.membership.hear(sender_id, message, now_ms)
-        if peer is not None and isinstance(message, Heartbeat):
+        membership = self._parts.membership
+        known = membership.peers.get(sender_id)
+        known_incarnation = None if known is None else known.incarnation
+        peer = membership.hear(sender_id, message, now_ms)
+        if peer is None:
+            return
+        if peer.incarnation != known_incarnation:
+            self._calls.hand_over_warmth(sender_id, now_ms)
+        if isinstance(message, Heartbeat):
             self._compare(sender_id, message, now_ms)
 
     def _compare(self, sender_id: str, heartbeat: Heartbeat, now_ms: float) -> None:
