--- a/packages/geraniumlead/src/geraniumlead/admission/concurrency_limit.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/concurrency_limit.py
@@ -8,8 +8,13 @@
 """A window closes after this time and with this many answers: single latencies scatter by
 a factor of three, the mean of 16 by a tenth."""
 
-TOLERANCE = 1.6
-"""Latency against the unloaded one at which the limit stands still."""
+TOLERANCE = 2.5
+"""Latency against the unloaded one at which the limit stands still.
+
+Trials at three times the capacity (two instances, four shards; one seed): 1.6 gave 88% of
+the goodput that the slots allow, 2.0 gave 92%, 2.5 gave 95%, 3.0 gave 96% with a first-class
+p99 a quarter higher.
+"""
 
 MOST_GROWTH = 1.25
 MOST_SHRINK = 0.7
--- a/packages/geraniumlead/src/geraniumlead/admission/service_pool.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/service_pool.py
@@ -11,6 +11,11 @@
 """Part of the limit that long-running requests may take: the rest turns over in
 milliseconds for the short ones, which otherwise would wait for the end of a long one."""
 
+FIRST_CLASS_FACTOR = 2.0
+"""Priority 0 may exceed the limit: under overload all places are always taken, and it would
+wait for the next one to come free although it goes first at the upstreams. Trials at three
+times the capacity: a p99 of 35 ms without, 27 to 29 ms with a factor of 2, 24 ms unloaded."""
+
 MOST_WAIT_SHARE = 0.5
 """Part of a request's time that it is expected to wait at most: the estimate may be wrong by
 a factor of two before requests that were let in have to be given up."""
@@ -39,9 +44,9 @@
     def may_start(self, level: LevelKey) -> bool:
         """Return whether a request of the level fits within the limit now."""
         limit = self.limit.value
-        if self.in_service >= limit:
+        priority, long_running = level
+        if self.in_service >= limit * (FIRST_CLASS_FACTOR if priority == 0 else 1.0):
             return False
-        _, long_running = level
         return not long_running or self.long_cost < max(1.0, LONG_SHARE * limit)
 
     def may_start_at_once(self, item: WaitingRequest) -> bool:
