--- a/packages/geraniumlead-standins/tests/standins_tests/membership/test_leaving.py
+++ b/packages/geraniumlead-standins/tests/standins_tests/membership/test_leaving.py
@@ -9,7 +9,7 @@
 from geraniumlead.requests import Answered, CallerRequest
 from geraniumlead.settings import TimingSettings
 from geraniumlead_standins.virtual.small_cluster import ClusterSize
-from standins_tests.membership.builders import RecordedCluster
+from standins_tests.membership.builders import SETTLED_MS, RecordedCluster
 
 TWO_CENTRES = ClusterSize(data_centres=("noord", "zuid"), instances=3)
 LARGE_CENTRE = ClusterSize(instances=20, shards=8, replicas=1, connections=8)
