Turn ready only when upstreams can be called

Cause: make demo failed 80 of 759 lookups and statements in the first three seconds: instances turned ready after 1.2 s while every upstream was unproven and no cold slot usable before the list's lag and the longest call had passed. Ruled out: shortening the lag (it bounds the cold load) and holding requests back. Now an instance is ready once its slots may be used or a peer handed warmth over.

--- a/packages/geraniumlead/src/geraniumlead/cold_start/cold_start_guard.py
+++ b/packages/geraniumlead/src/geraniumlead/cold_start/cold_start_guard.py
@@ -30,6 +30,7 @@
         "_pause_gap_ms",
         "_ticked_ms",
         "_warmth",
+        "can_serve",
     )
 
     def __init__(
@@ -41,6 +42,7 @@
         self._confirmation = confirmation
         self._warmth: dict[str, UpstreamWarmth] = {}
         self._ticked_ms = float("inf")
+        self.can_serve = False
 
     def update(
         self, view: ClusterView, owners: OwnerTable, list_revision: int, now_ms: float
@@ -55,6 +57,10 @@
         if now_ms - self._ticked_ms > self._pause_gap_ms:
             self._holders.hold_back(now_ms)
         self._ticked_ms = now_ms
+        # Before this a new instance could only refuse: its upstreams are unproven and its slots
+        # not usable yet. Unready, it lets the balancer choose others that can serve.
+        if now_ms >= self._holders.all_usable_from_ms:
+            self.can_serve = True
 
     def warmth_of(self, upstream_id: str) -> UpstreamWarmth:
         """Return the state machine of an upstream."""
@@ -132,6 +138,7 @@
             warmth.note_cold(now_ms)
         elif phase == WarmthPhase.WARM:
             warmth.note_told_warm(now_ms)
+            self.can_serve = self.can_serve or warmth.takes_load
 
     def phases(self) -> dict[str, WarmthPhase]:
         """Return the phase of every upstream that was used, for status."""
--- a/packages/geraniumlead/src/geraniumlead/cold_start/slot_holders.py
+++ b/packages/geraniumlead/src/geraniumlead/cold_start/slot_holders.py
@@ -54,6 +54,11 @@
         """Return when this instance may use its slots of a service's upstreams."""
         return self._usable_ms + self._longest_call_ms.get(service, 0.0)
 
+    @property
+    def all_usable_from_ms(self) -> float:
+        """Return when this instance may use its slots of every service's upstreams."""
+        return self._usable_ms + max(self._longest_call_ms.values(), default=0.0)
+
     def holders_of(self, upstream_id: str, cold_allowance: int) -> tuple[str, ...]:
         """Return the instances that hold a slot."""
         return self._owners.owners_of(upstream_id)[:cold_allowance]
--- a/packages/geraniumlead/src/geraniumlead/instance/parts.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/parts.py
@@ -71,7 +71,8 @@
     def is_ready(self) -> bool:
         """Return what the balancer is told."""
         in_service = self.store.view.is_data_centre_in(self.settings.data_centre)
-        return self.lifecycle.is_serving and in_service and not self.membership.is_leaving
+        can_serve = self.lifecycle.is_serving and self.cold_start.can_serve
+        return can_serve and in_service and not self.membership.is_leaving
 
     @property
     def is_configured(self) -> bool:
