Tie a peer's name to its key, reopen refused connections, and receive on a plain socket

Cause: the sender's name was whatever the peer said; dealers of replaced instances stayed open; a connection that a peer with an older list refused was given up by ZeroMQ for good (the test failed with a timeout first). Now: with keys the sender is the owner of the proven key, unknown keys are refused; a changed key or address opens a new connection; unused ones are closed after 60 s; a connection that takes no message for 2 s is reopened. Beats to other data centres go to two contacts each.

--- a/packages/geraniumlead-server/src/geraniumlead_server/daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/daemon.py
@@ -14,7 +14,7 @@
 from geraniumlead_server.driver import InstanceDriver
 from geraniumlead_server.logs import RequestLog
 from geraniumlead_server.operators import RecentRequests, build_operators_app
-from geraniumlead_server.peer_transport import PeerTransport
+from geraniumlead_server.peer_transport import PeerTransport, PublishedKeys
 from geraniumlead_server.platform_client import PlatformClient
 from geraniumlead_server.telemetry import MetricsPage, RequestMetrics
 from geraniumlead_server.upstream_client import UpstreamClient
@@ -50,7 +50,9 @@
         self._platform = PlatformClient(
             self._settings.platform_addresses, driver.handle, self._random
         )
-        self._peers = PeerTransport(self._settings, driver.handle)
+        self._peers = PeerTransport(
+            self._settings, driver.handle, PublishedKeys(lambda: instance.parts.store.view)
+        )
         servers = self._build_servers(driver)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, driver.handle, StopRequested())
--- a/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/__init__.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/__init__.py
@@ -1,5 +1,6 @@
 """Carry messages between instances."""
 
+from geraniumlead_server.peer_transport.published_keys import PublishedKeys
 from geraniumlead_server.peer_transport.transport import PeerTransport
 
-__all__ = ["PeerTransport"]
+__all__ = ["PeerTransport", "PublishedKeys"]
--- a/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
@@ -6,17 +6,26 @@
 
 import zmq
 import zmq.asyncio
+from zmq.auth.asyncio import AsyncioAuthenticator
 
 from geraniumlead.actions import SendToPeer
 from geraniumlead.events import PeerMessageReceived
 from geraniumlead.peers import decode_message, encode_message
 from geraniumlead.settings import InstanceSettings
+from geraniumlead_server.peer_transport.dealers import Dealers
+from geraniumlead_server.peer_transport.published_keys import PublishedKeys
 
 logger = logging.getLogger("geraniumlead")
 
 HIGH_WATER_MESSAGES = 1_000
 HEARTBEAT_INTERVAL_MS = 1_000
 HEARTBEAT_TIMEOUT_MS = 3_000
+RECONNECT_MS = 100
+LONGEST_RECONNECT_MS = 2_000
+MOST_AT_ONCE = 100
+"""Messages taken in before other work of the loop has its turn."""
+
+ZAP_DOMAIN = "peers"
 
 
 class PeerTransport:
@@ -24,70 +33,124 @@
 
     A message that cannot be queued is dropped: every message may be lost, and the decisions
     above rely on none. ZMTP heartbeats end connections that went silent.
+
+    With keys, the sender of a message is the owner of the key that its connection proved;
+    the name that it gives itself counts for nothing, and unknown keys are refused. Without
+    keys, which is for development only, the sender is who it says.
+
+    The ROUTER is a plain socket whose file descriptor the loop watches: the awaitable socket
+    costs a future and a poll for each message (docs/measurements/peer-transport.md).
     """
 
     def __init__(
-        self, settings: InstanceSettings, report: Callable[[PeerMessageReceived], None]
+        self,
+        settings: InstanceSettings,
+        report: Callable[[PeerMessageReceived], None],
+        keys: PublishedKeys,
     ) -> None:
         self._settings = settings
         self._report = report
+        self._keys = keys
         self._context = zmq.asyncio.Context()
-        self._router = self._context.socket(zmq.ROUTER)
-        self._dealers: dict[tuple[str, str], zmq.Socket] = {}
-        self._task: asyncio.Task | None = None
+        self._router = self._context.socket(zmq.ROUTER, socket_class=zmq.Socket)
+        self._dealers = Dealers(self._open_dealer)
+        self._authenticator: AsyncioAuthenticator | None = None
+        self._loop = asyncio.get_running_loop()
+        self._receiving: asyncio.Handle | None = None
+
+    @property
+    def has_keys(self) -> bool:
+        """Return whether connections are encrypted and their peers proven."""
+        return bool(self._settings.peer_secret_key)
 
     def start(self) -> None:
         """Bind and receive."""
         self._configure(self._router)
-        # A peer that restarts connects under its old name before the old connection is gone.
-        self._router.setsockopt(zmq.ROUTER_HANDOVER, 1)
-        if self._settings.peer_secret_key:
-            self._router.curve_server = True
-            self._set_keys(self._router)
+        if self.has_keys:
+            self._require_keys()
+        else:
+            # A peer that restarts connects under its old name before the old connection
+            # is gone.
+            self._router.setsockopt(zmq.ROUTER_HANDOVER, 1)
         self._router.bind(f"tcp://{self._settings.listen.peers}")
-        self._task = asyncio.get_running_loop().create_task(self._receive())
+        self._loop.add_reader(self._router.getsockopt(zmq.FD), self._receive)
+        self._receive()
 
     def send(self, action: SendToPeer) -> None:
         """Queue a message for a peer, or drop it when the peer takes none."""
-        dealer = self._dealer_for(action)
+        if self.has_keys and not action.public_key:
+            logger.warning("peer_without_key", extra={"fields": {"peer": action.instance_id}})
+            return
+        dealer = self._dealers.socket_for(action, self._loop.time())
         try:
             dealer.send(encode_message(action.message), zmq.NOBLOCK)
         except zmq.Again:
+            self._dealers.note_blocked(action.instance_id, self._loop.time())
             logger.debug("peer_message_dropped", extra={"fields": {"peer": action.instance_id}})
 
     def close(self) -> None:
-        """Close all sockets without waiting for unsent messages."""
-        if self._task is not None:
-            self._task.cancel()
+        """Close all sockets; unsent messages get a moment to leave."""
+        self._loop.remove_reader(self._router.getsockopt(zmq.FD))
+        if self._receiving is not None:
+            self._receiving.cancel()
+        if self._authenticator is not None:
+            self._authenticator.stop()
         self._context.destroy(linger=200)
 
-    async def _receive(self) -> None:
-        while True:
-            sender, *frames = await self._router.recv_multipart()
-            message = decode_message(frames[-1]) if frames else None
-            if message is None:
-                logger.warning("peer_message_malformed")
-                continue
-            self._report(PeerMessageReceived(sender.decode(errors="replace"), message))
-
-    def _dealer_for(self, action: SendToPeer) -> zmq.Socket:
-        name = (action.instance_id, action.address)
-        dealer = self._dealers.get(name)
-        if dealer is None:
-            dealer = self._context.socket(zmq.DEALER, socket_class=zmq.Socket)
-            self._configure(dealer)
+    def _require_keys(self) -> None:
+        self._authenticator = AsyncioAuthenticator(self._context)
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(ZAP_DOMAIN, self._keys)
+        self._router.zap_domain = ZAP_DOMAIN.encode()
+        self._router.curve_server = True
+        self._set_keys(self._router)
+
+    def _receive(self) -> None:
+        # The descriptor only tells of changes, so everything must be taken before the next
+        # wait; a rest that is left for the others' turn is taken without being told.
+        self._receiving = None
+        for _ in range(MOST_AT_ONCE):
+            try:
+                frames = self._router.recv_multipart(zmq.NOBLOCK, copy=not self.has_keys)
+            except zmq.Again:
+                return
+            self._take(frames)
+        self._receiving = self._loop.call_soon(self._receive)
+
+    def _take(self, frames: list) -> None:
+        sender_id = self._find_sender(frames)
+        if sender_id is None:
+            logger.warning("peer_message_of_unlisted_sender")
+            return
+        data = frames[-1] if isinstance(frames[-1], bytes) else frames[-1].buffer
+        message = decode_message(data) if len(frames) > 1 else None
+        if message is None:
+            logger.warning("peer_message_malformed", extra={"fields": {"peer": sender_id}})
+            return
+        self._report(PeerMessageReceived(sender_id, message))
+
+    def _find_sender(self, frames: list) -> str | None:
+        if self.has_keys:
+            return self._keys.owner_of(frames[-1].get("User-Id"))
+        return frames[0].decode(errors="replace")
+
+    def _open_dealer(self, action: SendToPeer) -> zmq.Socket:
+        dealer = self._context.socket(zmq.DEALER, socket_class=zmq.Socket)
+        self._configure(dealer)
+        if self.has_keys:
+            self._set_keys(dealer)
+            dealer.curve_serverkey = action.public_key.encode()
+        else:
             dealer.setsockopt(zmq.IDENTITY, self._settings.instance_id.encode())
-            if self._settings.peer_secret_key:
-                self._set_keys(dealer)
-                dealer.curve_serverkey = action.public_key.encode()
-            dealer.connect(f"tcp://{action.address}")
-            self._dealers[name] = dealer
+        dealer.connect(f"tcp://{action.address}")
         return dealer
 
     def _configure(self, socket: zmq.Socket) -> None:
         socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MESSAGES)
         socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MESSAGES)
         socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, LONGEST_RECONNECT_MS)
         socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
 
--- /dev/null
+++ b/packages/geraniumlead-server/tests/server_tests/peer_transport/test_transport.py
@@ -0,0 +1,146 @@
+"""Test who may send to an instance, over loopback ports."""
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+import zmq
+
+from geraniumlead.actions import SendToPeer
+from geraniumlead.configuration import ClusterView
+from geraniumlead.documents import InstanceEntry
+from geraniumlead.peers import Goodbye
+from geraniumlead.settings import InstanceSettings, ListenSettings
+from geraniumlead_server.peer_transport import PeerTransport, PublishedKeys
+from server_tests.ports import find_free_port
+
+LONGEST_WAIT_S = 5.0
+QUIET_S = 0.5
+
+
+class Node:
+    """Be one end: a transport, its key pair and what it received."""
+
+    def __init__(self, name: str, network: "Network", with_keys: bool) -> None:
+        public, secret = zmq.curve_keypair() if with_keys else (b"", b"")
+        self.name = name
+        self.address = f"127.0.0.1:{find_free_port()}"
+        self.public_key = public.decode()
+        self.received: list[tuple[str, str]] = []
+        settings = InstanceSettings(
+            instance_id=name,
+            data_centre="noord",
+            listen=ListenSettings(
+                callers="127.0.0.1:1", operators="127.0.0.1:2", peers=self.address
+            ),
+            platform_addresses=["127.0.0.1:4"],
+            peer_public_key=self.public_key,
+            peer_secret_key=secret.decode(),
+        )
+        self.transport = PeerTransport(settings, self._take, PublishedKeys(lambda: network.view))
+        self.transport.start()
+
+    def send(self, other: "Node", text: str) -> None:
+        self.transport.send(SendToPeer(other.name, other.address, Goodbye(text), other.public_key))
+
+    def _take(self, event) -> None:
+        self.received.append((event.sender_id, event.message.incarnation))
+
+
+class Network:
+    """Hold the published list that all nodes see."""
+
+    def __init__(self) -> None:
+        self.view = ClusterView()
+
+    def publish(self, *nodes: Node) -> None:
+        entries = tuple(
+            InstanceEntry(
+                instance_id=node.name,
+                peer_address=node.address,
+                peer_public_key=node.public_key,
+            )
+            for node in nodes
+        )
+        self.view = ClusterView(instances={"noord": entries})
+
+
+class TransportTests(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.network = Network()
+        self.nodes: list[Node] = []
+
+    async def asyncTearDown(self):
+        for node in self.nodes:
+            node.transport.close()
+
+    def add(self, name: str, with_keys: bool = True) -> Node:
+        node = Node(name, self.network, with_keys)
+        self.nodes.append(node)
+        return node
+
+    async def wait_for(self, condition):
+        async with asyncio.timeout(LONGEST_WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def test_a_listed_peer_is_heard_under_the_name_of_its_key(self):
+        one, other = self.add("noord-0"), self.add("noord-1")
+        self.network.publish(one, other)
+        one.send(other, "hello")
+        await self.wait_for(lambda: other.received)
+        self.assertEqual([("noord-0", "hello")], other.received)
+
+    async def test_a_peer_cannot_take_the_name_of_another(self):
+        """A process with a listed key of its own settings claims another instance's name.
+
+        By name alone it could answer that instance's subqueries, or say goodbye for it.
+        """
+        one, other = self.add("noord-0"), self.add("noord-1")
+        impostor = self.add("noord-0")
+        impostor.name = "noord-2"
+        self.network.publish(one, other, impostor)
+        impostor.send(other, "goodbye for noord-0")
+        await self.wait_for(lambda: other.received)
+        self.assertEqual("noord-2", other.received[0][0])
+
+    async def test_an_unknown_key_is_refused_and_heard_once_it_is_listed(self):
+        """A new instance writes to a peer whose list does not name it yet.
+
+        ZeroMQ gives a refused connection up for good. Without opening another the peer
+        would never hear the new instance, though its list names it a moment later.
+        """
+        one, other = self.add("noord-0"), self.add("noord-1")
+        self.network.publish(other)
+        one.send(other, "too early")
+        await asyncio.sleep(QUIET_S)
+        self.assertEqual([], other.received)
+        self.network.publish(one, other)
+        await self.wait_for(lambda: one.send(other, "now") or other.received)
+
+    async def test_a_peer_that_left_the_list_is_heard_no_more(self):
+        one, other = self.add("noord-0"), self.add("noord-1")
+        self.network.publish(one, other)
+        one.send(other, "hello")
+        await self.wait_for(lambda: other.received)
+        self.network.publish(other)
+        one.send(other, "again")
+        await asyncio.sleep(QUIET_S)
+        self.assertEqual(1, len(other.received))
+
+    async def test_a_peer_with_a_new_key_gets_a_new_connection(self):
+        one, old = self.add("noord-0"), self.add("noord-1")
+        self.network.publish(one, old)
+        one.send(old, "hello")
+        await self.wait_for(lambda: old.received)
+        new = self.add("noord-1")
+        self.network.publish(one, new)
+        one.send(new, "hello")
+        await self.wait_for(lambda: new.received)
+        self.assertEqual(1, len(one.transport._dealers))
+
+    async def test_every_message_of_a_burst_is_taken(self):
+        one, other = self.add("noord-0", False), self.add("noord-1", False)
+        for number in range(900):
+            one.send(other, str(number))
+        await self.wait_for(lambda: len(other.received) == 900)
+        self.assertEqual(("noord-0", "899"), other.received[-1])
--- a/packages/geraniumlead-server/tests/server_tests/platform_client/test_client.py
+++ b/packages/geraniumlead-server/tests/server_tests/platform_client/test_client.py
@@ -12,9 +12,8 @@
 from geraniumlead_standins.platform.app import PlatformApp
 from geraniumlead_standins.platform.faults import PlatformFaults
 from geraniumlead_standins.platform.store import PlatformStore
+from server_tests.ports import find_free_port
 
-PORT = 25_110
-NOBODY = "127.0.0.1:25111"
 KEY = "geraniumlead/contracts/acme"
 LONGEST_WAIT_S = 5.0
 
@@ -26,9 +25,11 @@
         self.platform = PlatformApp(self.store)
         self.runner = web.AppRunner(self.platform.build())
         await self.runner.setup()
-        await web.TCPSite(self.runner, "127.0.0.1", PORT, reuse_address=True).start()
+        port = find_free_port()
+        await web.TCPSite(self.runner, "127.0.0.1", port).start()
+        self.address = f"127.0.0.1:{port}"
         self.events: list[DocumentsReceived | PlatformSilent] = []
-        self.client = PlatformClient([f"127.0.0.1:{PORT}"], self.events.append, Random(1))
+        self.client = PlatformClient([self.address], self.events.append, Random(1))
         self.enterContext(patch.object(client, "CHECK_INTERVAL_S", 0.05))
 
     async def asyncTearDown(self):
@@ -97,11 +98,8 @@
         await self.wait_for(lambda: b"restored" in self.values())
 
     async def test_goes_on_with_the_next_address(self):
-        self.client = PlatformClient(
-            [NOBODY, f"127.0.0.1:{PORT}", NOBODY.replace("25111", "25112")],
-            self.events.append,
-            Random(1),
-        )
+        nobody = f"127.0.0.1:{find_free_port()}"
+        self.client = PlatformClient([nobody, self.address, nobody], self.events.append, Random(1))
         self.client.read_once(3)
         await self.wait_for(lambda: self.values())
 
--- a/packages/geraniumlead/src/geraniumlead/membership/membership.py
+++ b/packages/geraniumlead/src/geraniumlead/membership/membership.py
@@ -19,6 +19,10 @@
 """Peers of other data centres in one beat: all of them at today's size. At the target all
 instances of a data centre together send 920 beats to others, so news cross within one."""
 
+REMOTE_CONTACTS = 2
+"""Peers of each other data centre that beats go to, where there are more than one beat
+reaches: to go through all of them would open a connection to every instance."""
+
 PROBES_PER_BEAT = 16
 """Silent peers that are asked for a sign of life in one beat, so that a whole data centre
 that fell silent does not turn into a burst of messages."""
@@ -42,6 +46,7 @@
         "_own_state",
         "_peer_timeout_ms",
         "_remote",
+        "_remote_count",
         "peers",
     )
 
@@ -51,6 +56,7 @@
         self._peer_timeout_ms = peer_timeout_ms
         self._local = BeatRotation(LOCAL_BEATS)
         self._remote = BeatRotation(REMOTE_BEATS)
+        self._remote_count = 0
         self._awaited: dict[str, None] = {}
         self._own_state = "live"
         self.peers: dict[str, Peer] = {}
@@ -79,7 +85,7 @@
             else:
                 peer.entry, peer.data_centre = entry, data_centre
         self._local.update(name for name in listed if self._is_local(name))
-        self._remote.update(name for name in listed if not self._is_local(name))
+        self._update_remote([name for name in listed if not self._is_local(name)])
 
     def hear(self, sender_id: str, message: Heartbeat | Goodbye, now_ms: float) -> Peer | None:
         """Note a sign of life or a farewell; None for a sender that is not listed."""
@@ -115,8 +121,8 @@
 
     def find_farewell_targets(self) -> list[str]:
         """Return the peers that are told of a stop at once; others are when they send work."""
-        remote = self._remote.reaches_all
-        return [name for name in self.peers if remote or self._is_local(name)]
+        remote_too = self._remote_count <= REMOTE_BEATS
+        return [name for name in self.peers if remote_too or self._is_local(name)]
 
     def take_probe_targets(self, interval_ms: float, now_ms: float) -> list[str]:
         """Return peers that were asked an interval ago or more and are still silent.
@@ -144,8 +150,7 @@
         since_ms = peer.unanswered_since_ms
         if since_ms is not None and now_ms - since_ms > self._peer_timeout_ms:
             return False
-        group = self._local if peer.data_centre == self._data_centre else self._remote
-        if not group.reaches_all:
+        if not self._hears_each_beat(instance_id):
             return True
         return now_ms - peer.heard_ms <= self._peer_timeout_ms
 
@@ -167,6 +172,25 @@
         ranked = rank_by_rendezvous(self._data_centre, [*local, self._instance_id])
         return self._instance_id in ranked[:WATCHERS_PER_DATA_CENTRE]
 
+    def _update_remote(self, names: list[str]) -> None:
+        self._remote_count = len(names)
+        if len(names) <= REMOTE_BEATS:
+            self._remote.update(names)
+            return
+        by_data_centre: dict[str, list[str]] = {}
+        for name in names:
+            by_data_centre.setdefault(self.peers[name].data_centre, []).append(name)
+        self._remote.update(
+            contact
+            for group in by_data_centre.values()
+            for contact in rank_by_rendezvous(self._instance_id, group)[:REMOTE_CONTACTS]
+        )
+
+    def _hears_each_beat(self, instance_id: str) -> bool:
+        if self._is_local(instance_id):
+            return self._local.reaches_all
+        return self._remote_count <= REMOTE_BEATS
+
     def _take_heartbeat(self, peer: Peer, heartbeat: Heartbeat) -> None:
         peer.incarnation = heartbeat.incarnation
         peer.revision = heartbeat.revision
--- a/packages/geraniumlead/src/geraniumlead/peers/codec.py
+++ b/packages/geraniumlead/src/geraniumlead/peers/codec.py
@@ -14,7 +14,7 @@
     return _ENCODER.encode(message)
 
 
-def decode_message(data: bytes) -> PeerMessage | None:
+def decode_message(data: bytes | memoryview) -> PeerMessage | None:
     """Return the message in ``data``, or None when it is malformed or of an unknown kind."""
     try:
         return _DECODER.decode(data)
