--- a/packages/geraniumlead-standins/tests/standins_tests/membership/test_leaving.py
+++ b/packages/geraniumlead-standins/tests/standins_tests/membership/test_leaving.py
@@ -18,7 +18,7 @@
 
 def build_settled(size: ClusterSize = TWO_CENTRES, seed: int = 1) -> RecordedCluster:
     recorded = RecordedCluster.from_size(size, seed)
-    recorded.run_for(SETTLED_MS)
+    recorded.settle()
     return recorded
 
 
--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -24,6 +24,7 @@
 from geraniumlead.instance.request_handler import RequestHandler
 from geraniumlead.instance.status import InstanceStatus
 from geraniumlead.instance.stop_handler import StopHandler
+from geraniumlead.instance.upstream_report import report_services, report_upstreams
 from geraniumlead.peers import (
     CancelBatch,
     DocumentsUpdate,
@@ -124,6 +125,7 @@
         """Summarise this instance for operators."""
         parts = self.parts
         view = parts.store.view
+        upstreams = report_upstreams(parts, now_ms)
         return InstanceStatus(
             instance_id=parts.settings.instance_id,
             incarnation=parts.incarnation,
@@ -139,6 +141,8 @@
             },
             data_centres={name: found.state for name, found in view.data_centres.items()},
             is_watcher=self._configuration.watching,
+            services=report_services(upstreams),
+            upstreams=upstreams,
             view_unconfirmed_ms=(
                 None
                 if parts.freshness.is_confirmed
