--- a/packages/geraniumlead-standins/src/geraniumlead_standins/bench/caller_load.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/caller_load.py
@@ -68,11 +68,16 @@
         """Run until every request has its outcome."""
         self.run.queue.run_until(self._end_ms + settle_ms)
 
+    @property
+    def measured_s(self) -> float:
+        """Return the time in which requests arrive that count."""
+        return (self._end_ms - MEASURED_FROM_MS) / 1_000.0
+
     def rows(self, pattern: str, variant: str, **more: float) -> list[ResultRow]:
         """Return a row for each stream."""
         fallen = sum(upstream.fallen for upstream in self.run.upstreams.values())
         crashes = sum(upstream.crashes for upstream in self.run.upstreams.values())
-        measured_s = (self._end_ms - MEASURED_FROM_MS) / 1_000.0
+        measured_s = self.measured_s
         return [
             self._row(pattern, variant, name, found, measured_s, fallen + crashes, more)
             for name, found in self.results.items()
@@ -98,6 +103,7 @@
                 "sent": float(found.sent),
                 "failed": float(found.failed),
                 "past_deadline": float(found.late),
+                "refused_at_once": round(found.refused_at_once_share(), 4),
                 "longest_refusal_ms": round(max(found.refusal_ms, default=0.0), 2),
                 **more,
             },
@@ -150,7 +156,7 @@
                 wait_ms = action.outcome.retry_after_ms
             case _:
                 return
-        if now_ms + wait_ms < stream.end_ms:
+        if now_ms + wait_ms < max(stream.end_ms, stream.returns_until_ms):
             again = lambda: self._send(stream, key, query, returns + 1)  # noqa: E731
             self.run.queue.add(now_ms + wait_ms, again)
 
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/bench/caller_stream.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/caller_stream.py
@@ -26,6 +26,7 @@
     deadline_ms: float = 200.0
     after_refusal: AfterRefusal = AfterRefusal.LEAVE
     most_returns: int = 20
+    returns_until_ms: float = 0.0
     key_of: Callable[[Random], str | None] = lambda random: None
     query_of: Callable[[Random], bytes] = lambda random: b"{}"
     label: str = ""
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/patterns/long_among_short.py
@@ -0,0 +1,59 @@
+"""Long jobs, fifty times as long as the others, at the same upstreams."""
+
+from dataclasses import replace
+
+from msgspec.structs import replace as replace_fields
+
+from geraniumlead_standins.bench.admission_variants import (
+    Prepare,
+    use_module,
+    use_plain_admission,
+)
+from geraniumlead_standins.bench.caller_load import CallerLoad
+from geraniumlead_standins.bench.caller_stream import CallerStream
+from geraniumlead_standins.bench.load_contracts import (
+    CAPACITY_PER_S,
+    SIZE,
+    build_load_contract,
+)
+from geraniumlead_standins.bench.result_row import ResultRow
+
+NAME = "long_among_short"
+LONG_PER_S = 24.0
+WIDE = replace(SIZE, slots=6)
+"""Six slots, as the portal and the reporting service have: of two slots each of two owners
+has one, and a long job on it stops all short ones of that owner."""
+
+END_MS = 22_000.0
+
+
+def run(seed: int) -> list[ResultRow]:
+    """Return the rows without long jobs, and with them for every variant."""
+    return [
+        *_measure("no long jobs", use_module, 0.0, seed),
+        *_measure("plain", use_plain_admission, LONG_PER_S, seed),
+        *_measure("module", use_module, LONG_PER_S, seed),
+        *_measure("rival not kept apart", use_module, LONG_PER_S, seed, kept_apart=False),
+    ]
+
+
+def _measure(
+    variant: str, prepare: Prepare, long_per_s: float, seed: int, kept_apart: bool = True
+) -> list[ResultRow]:
+    contract = build_load_contract()
+    if not kept_apart:
+        classes = [replace_fields(found, long_running=False) for found in contract.classes]
+        contract = replace_fields(contract, classes=classes)
+    load = CallerLoad(WIDE, seed, [contract], prepare)
+    load.add(CallerStream("statement", 0.75 * CAPACITY_PER_S, end_ms=END_MS, deadline_ms=500.0))
+    load.add(
+        CallerStream(
+            "archive",
+            long_per_s,
+            end_ms=END_MS,
+            deadline_ms=10_000.0,
+            query_of=lambda random: b'{"kind":"long job"}',
+        )
+    )
+    load.finish(settle_ms=11_000.0)
+    return load.rows(NAME, variant)
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/patterns/retry_storm.py
@@ -0,0 +1,55 @@
+"""Refused callers come back, at once or at the time that they were told."""
+
+from geraniumlead.admission import retry_after
+from geraniumlead_standins.bench.admission_variants import (
+    Prepare,
+    use_module,
+    use_plain_admission,
+)
+from geraniumlead_standins.bench.caller_load import CallerLoad
+from geraniumlead_standins.bench.caller_stream import AfterRefusal, CallerStream
+from geraniumlead_standins.bench.load_contracts import (
+    CAPACITY_PER_S,
+    SIZE,
+    build_load_contract,
+)
+from geraniumlead_standins.bench.result_row import ResultRow
+
+NAME = "retry_storm"
+END_MS = 18_000.0
+SURGE_AT_MS = 10_000.0
+SURGE_END_MS = 12_000.0
+
+
+def run(seed: int) -> list[ResultRow]:
+    """Return the rows of a surge of two seconds, for callers of both kinds."""
+    rows = []
+    for after in (AfterRefusal.RETURN_AT_ONCE, AfterRefusal.HONOUR_TIME):
+        rows += _measure(f"plain, {after}", use_plain_admission, after, seed)
+        rows += _measure(f"module, {after}", use_module, after, seed)
+    spread = retry_after.SPREAD
+    try:
+        retry_after.SPREAD = 0.0
+        after = AfterRefusal.HONOUR_TIME
+        rows += _measure(f"rival not spread, {after}", use_module, after, seed)
+    finally:
+        retry_after.SPREAD = spread
+    return rows
+
+
+def _measure(variant: str, prepare: Prepare, after: AfterRefusal, seed: int) -> list[ResultRow]:
+    load = CallerLoad(SIZE, seed, [build_load_contract()], prepare)
+    load.add(CallerStream("lookup", 0.3 * CAPACITY_PER_S, end_ms=END_MS, after_refusal=after))
+    load.add(
+        CallerStream(
+            "statement",
+            2.0 * CAPACITY_PER_S,
+            start_ms=SURGE_AT_MS,
+            end_ms=SURGE_END_MS,
+            deadline_ms=500.0,
+            after_refusal=after,
+            returns_until_ms=END_MS,
+        )
+    )
+    load.finish()
+    return load.rows(NAME, variant)
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/bench/stream_result.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/stream_result.py
@@ -5,6 +5,8 @@
 
 from geraniumlead.requests import Answered, NotRun, Outcome
 
+AT_ONCE_MS = 5.0
+
 
 @dataclass(slots=True)
 class StreamResult:
@@ -33,6 +35,11 @@
                 self.failed += 1
         self.late += is_late
 
+    def refused_at_once_share(self) -> float:
+        """Return the part of the refusals that took at most 5 ms."""
+        at_once = sum(took_ms <= AT_ONCE_MS for took_ms in self.refusal_ms)
+        return at_once / len(self.refusal_ms) if self.refusal_ms else 1.0
+
     def quantile_ms(self, share: float) -> float | None:
         """Return a quantile of the answers' latency; None without answers."""
         ordered = sorted(self.latencies_ms)
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/fake_upstream.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/virtual/fake_upstream.py
@@ -23,6 +23,10 @@
 from geraniumlead_standins.virtual.event_queue import EventQueue
 
 CRASHED_MS = 2_000.0
+LONG_TEXT = b"long job"
+LONG_FACTOR = 50.0
+"""A query with this text runs so many times longer than the others."""
+
 QUEUED_PER_SLOT = 8
 
 Answer = Callable[[UpstreamAnswer], None]
@@ -150,6 +154,8 @@
             self._running.append(call)
             self._note("started", call)
             drawn_ms = self.random.lognormvariate(math.log(self.median_ms), self.sigma)
+            if LONG_TEXT in call.subquery.query:
+                drawn_ms *= LONG_FACTOR
             self.queue.add(
                 self.queue.now_ms + drawn_ms * self.slowdown, lambda call=call: self._finish(call)
             )
--- a/packages/geraniumlead/src/geraniumlead/admission/controller.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/controller.py
@@ -1,6 +1,6 @@
 """Decide for each request whether it starts, waits or is refused."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from geraniumlead.admission.contract_gate import ContractGate
@@ -46,6 +46,7 @@
         "_gates",
         "_item_of",
         "_limits",
+        "_pool_factory",
         "_pools",
         "_queued",
         "_random",
@@ -55,14 +56,21 @@
         "_wall_clock",
     )
 
-    def __init__(self, limits: LimitSettings, instance_id: str, random: Random) -> None:
+    def __init__(
+        self,
+        limits: LimitSettings,
+        instance_id: str,
+        random: Random,
+        pool_factory: Callable[[], ServicePool] = ServicePool,
+    ) -> None:
         self._limits = limits
+        self._pool_factory = pool_factory
         self._random = random
         self._view = ClusterView()
         self._shares = FleetShares(instance_id)
         self._wall_clock = WallClock()
         self._gates: dict[str, ContractGate] = {}
-        self._pools: dict[str, ServicePool] = {}
+        self._pools: dict[tuple[str, bool], ServicePool] = {}
         self._item_of: dict[str, tuple[WaitingRequest, ServicePool]] = {}
         self._shard_counts: dict[str, int] = {}
         self._queued = 0
@@ -204,9 +212,10 @@
         request: CallerRequest,
         now_ms: float,
     ) -> AdmissionDecision:
-        pool = self._pools.get(traffic_class.service)
+        name = (traffic_class.service, traffic_class.long_running)
+        pool = self._pools.get(name)
         if pool is None:
-            pool = self._pools[traffic_class.service] = ServicePool()
+            pool = self._pools[name] = self._pool_factory()
         item = self._item_for(gate, traffic_class, request, pool)
         if not pool.hot_keys.may_enter(request.customer, request.key, pool.limit.value):
             drain_ms = pool.drain_ms(pool.limit.value, item.priority, now_ms)
@@ -217,6 +226,7 @@
         if pool.may_start_at_once(item):
             item.is_gone = True
             self._hold(item, pool)
+            pool.queue.note_passed(item.priority)
             pool.start(item, now_ms)
             return Admitted(request)
         return self._queue(pool, item, now_ms)
@@ -246,15 +256,12 @@
         pool: ServicePool,
     ) -> WaitingRequest:
         shards = self._shard_counts.get(traffic_class.service, 1)
-        long_running = traffic_class.long_running
-        scope = "all" if request.key is None else "keyed"
-        kind = f"{scope}-long" if long_running else scope
+        kind = "all" if request.key is None else "keyed"
         return WaitingRequest(
             request=request,
             priority=traffic_class.priority,
             weight=gate.contract.weight,
             cost=1.0 if request.key is None else 1.0 / shards,
-            long_running=long_running,
             latest_start_ms=request.deadline_ms
             - min(
                 SERVICE_MARGIN * pool.limit.baseline_ms(kind),
--- a/packages/geraniumlead/src/geraniumlead/admission/hot_keys.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/hot_keys.py
@@ -1,9 +1,10 @@
 """Bound what one key may take of a service."""
 
-OPEN_SHARE = 0.5
-LEAST_OPEN = 4
-"""A limit of L requests to all shards is L subqueries on each shard. One key's requests all
-go to one shard, so half of L leaves the shard's other half to everybody else."""
+OPEN_SHARE = 0.25
+LEAST_OPEN = 3
+"""A limit of L requests to all shards is L subqueries on each shard, of which TOLERANCE
+times too many wait. One key's requests all go to one shard, so a quarter of L leaves more
+than half of the shard to everybody else; three let a key be asked for by a few at once."""
 
 
 class HotKeys:
--- a/packages/geraniumlead/src/geraniumlead/admission/service_pool.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/service_pool.py
@@ -3,14 +3,10 @@
 from geraniumlead.admission.concurrency_limit import ConcurrencyLimit
 from geraniumlead.admission.decaying_rate import DecayingRate
 from geraniumlead.admission.hot_keys import HotKeys
-from geraniumlead.admission.service_queue import FLOOR_SHARE, LevelKey, ServiceQueue
+from geraniumlead.admission.service_queue import FLOOR_SHARE, ServiceQueue
 from geraniumlead.admission.waiting_request import WaitingRequest
 from geraniumlead.requests.reasons import RefusalReason
 
-LONG_SHARE = 0.75
-"""Part of the limit that long-running requests may take: the rest turns over in
-milliseconds for the short ones, which otherwise would wait for the end of a long one."""
-
 FIRST_CLASS_FACTOR = 2.0
 """Priority 0 may exceed the limit: under overload all places are always taken, and it would
 wait for the next one to come free although it goes first at the upstreams. Trials at three
@@ -27,40 +23,39 @@
     """Hold the places and the queue in front of one service's upstreams.
 
     Each service has upstreams of its own, so each has its own limit: a full archive must
-    not hold up lookups.
+    not hold up lookups. Long-running requests of a service have a pool of their own:
+    waiting for a place for seconds, they would hold the places of short ones, and their
+    latency, in one mean with that of the short ones, would shrink the limit of all.
     """
 
-    __slots__ = ("_drained", "_started", "hot_keys", "in_service", "limit", "long_cost", "queue")
+    __slots__ = ("_drained", "_started", "hot_keys", "in_service", "limit", "queue")
 
-    def __init__(self) -> None:
-        self.limit = ConcurrencyLimit()
+    def __init__(
+        self, limit: ConcurrencyLimit | None = None, hot_keys: HotKeys | None = None
+    ) -> None:
+        self.limit = limit or ConcurrencyLimit()
         self.queue = ServiceQueue()
-        self.hot_keys = HotKeys()
+        self.hot_keys = hot_keys or HotKeys()
         self.in_service = 0.0
-        self.long_cost = 0.0
         self._drained = DecayingRate(RATE_TIME_CONSTANT_MS)
         self._started: dict[int, DecayingRate] = {}
 
-    def may_start(self, level: LevelKey) -> bool:
-        """Return whether a request of the level fits within the limit now."""
-        limit = self.limit.value
-        priority, long_running = level
-        if self.in_service >= limit * (FIRST_CLASS_FACTOR if priority == 0 else 1.0):
-            return False
-        return not long_running or self.long_cost < max(1.0, LONG_SHARE * limit)
+    def may_start(self, priority: int) -> bool:
+        """Return whether a request of the priority fits within the limit now."""
+        factor = FIRST_CLASS_FACTOR if priority == 0 else 1.0
+        return self.in_service < self.limit.value * factor
 
     def may_start_at_once(self, item: WaitingRequest) -> bool:
         """Return whether a new request may start without standing in the queue."""
-        if not self.may_start((item.priority, item.long_running)):
+        if not self.may_start(item.priority):
             return False
-        # A waiting request that may not start itself, as a long-running one, bars nobody.
+        # A waiting request that may not start itself bars nobody.
         return not self.queue.has_waiting_up_to(item.priority, self.may_start)
 
     def start(self, item: WaitingRequest, now_ms: float) -> None:
         """Take a place."""
         item.started_ms = now_ms
         self.in_service += item.cost
-        self.long_cost += item.cost if item.long_running else 0.0
         self.limit.note_in_service(self.in_service)
         meter = self._started.get(item.priority)
         if meter is None:
@@ -70,7 +65,6 @@
     def end(self, item: WaitingRequest, now_ms: float) -> None:
         """Give back a place."""
         self.in_service = max(0.0, self.in_service - item.cost)
-        self.long_cost = max(0.0, self.long_cost - (item.cost if item.long_running else 0.0))
         self._drained.add(item.cost, now_ms)
 
     def drain_ms(self, cost: float, priority: int, now_ms: float) -> float:
--- a/packages/geraniumlead/src/geraniumlead/admission/service_queue.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/service_queue.py
@@ -13,32 +13,29 @@
 MOST_CREDIT = 1.0
 CANCELLED_BEFORE_SWEEP = 64
 
-LevelKey = tuple[int, bool]
-
 
 class ServiceQueue:
-    """Hold one fair queue for each priority, long-running requests apart.
+    """Hold one fair queue for each priority.
 
     Load pattern: first-class load alone fills the upstreams for minutes. With strict
     priority the lowest class would get nothing and its callers would wait until their
     deadlines. For each request served the lowest waiting class earns ``FLOOR_SHARE`` of a
-    turn. Long-running requests stand apart, so that one that may not start yet does not
-    stop the short ones behind it.
+    turn.
     """
 
     __slots__ = ("_by_latest_start", "_credit", "_levels", "_recent", "_serial", "length")
 
     def __init__(self) -> None:
-        self._levels: dict[LevelKey, FairQueue] = {}
+        self._levels: dict[int, FairQueue] = {}
         self._by_latest_start: list[tuple[float, int, WaitingRequest]] = []
-        self._recent: dict[LevelKey, list[WaitingRequest]] = {}
+        self._recent: dict[int, list[WaitingRequest]] = {}
         self._credit = 0.0
         self._serial = count()
         self.length = 0
 
     def push(self, item: WaitingRequest) -> None:
         """Add a request."""
-        key = (item.priority, item.long_running)
+        key = item.priority
         level = self._levels.get(key)
         if level is None:
             level = self._levels[key] = FairQueue()
@@ -48,13 +45,13 @@
         self._recent.setdefault(key, []).append(item)
         self.length += 1
 
-    def pop(self, may_start: Callable[[LevelKey], bool]) -> WaitingRequest | None:
+    def pop(self, may_start: Callable[[int], bool]) -> WaitingRequest | None:
         """Remove and return the request that is served next, of the levels that may start."""
         waiting = [key for key, level in self._levels.items() if level.length and may_start(key)]
         if not waiting:
             return None
         chosen = waiting[0]
-        if waiting[-1][0] > chosen[0]:
+        if waiting[-1] > chosen:
             self._credit = min(MOST_CREDIT, self._credit + FLOOR_SHARE)
             if self._credit >= MOST_CREDIT:
                 self._credit, chosen = 0.0, waiting[-1]
@@ -65,9 +62,16 @@
         self._sweep()
         return item
 
+    def note_passed(self, priority: int) -> None:
+        """Count a request that started without waiting, while a lower class waited."""
+        if self.length and any(
+            level.length and key > priority for key, level in self._levels.items()
+        ):
+            self._credit = min(MOST_CREDIT, self._credit + FLOOR_SHARE)
+
     def remove(self, item: WaitingRequest) -> None:
         """Take a request out of the queue."""
-        self._levels[item.priority, item.long_running].remove(item)
+        self._levels[item.priority].remove(item)
         self.length -= 1
         self._sweep()
 
@@ -86,7 +90,7 @@
             recent = self._recent.get(key, [])
             while recent and recent[-1].is_gone:
                 recent.pop()
-            if key[0] <= priority:
+            if key <= priority:
                 return None
             if recent:
                 item = recent.pop()
@@ -104,19 +108,19 @@
         """Return the number of one contract's waiting requests."""
         return sum(level.queued_of(customer)[0] for level in self._levels.values())
 
-    def has_waiting_up_to(self, priority: int, may_start: Callable[[LevelKey], bool]) -> bool:
+    def has_waiting_up_to(self, priority: int, may_start: Callable[[int], bool]) -> bool:
         """Return whether a request of this or a higher priority waits and may start."""
         if not self.length:
             return False
         return any(
-            level.length and key[0] <= priority and may_start(key)
+            level.length and key <= priority and may_start(key)
             for key, level in self._levels.items()
         )
 
     def cost_before(self, item: WaitingRequest) -> tuple[float, float]:
         """Estimate the cost of its own level, and of higher ones, before a new request."""
-        higher = sum(level.cost for key, level in self._levels.items() if key[0] < item.priority)
-        level = self._levels.get((item.priority, item.long_running))
+        higher = sum(level.cost for key, level in self._levels.items() if key < item.priority)
+        level = self._levels.get(item.priority)
         return (0.0 if level is None else level.cost_before(item)), higher
 
     def _sweep(self) -> None:
--- a/packages/geraniumlead/src/geraniumlead/admission/waiting_request.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/waiting_request.py
@@ -18,7 +18,6 @@
     priority: int
     weight: int
     cost: float
-    long_running: bool
     latest_start_ms: float
     kind: str
     started_ms: float = 0.0
--- a/packages/geraniumlead/src/geraniumlead/dispatch/upstream_gate.py
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/upstream_gate.py
@@ -96,10 +96,14 @@
 
     All owners together leave one slot to short requests: the first ``slots - 1`` owners in
     rendezvous order have a place, or several where there are more slots than owners. An
-    upstream of one slot has none to spare, so there one owner may run one long job.
+    upstream of one slot has none to spare, so there one owner may run one long job. An owner
+    whose share is several slots keeps one of them free itself: its short requests can't use
+    the slot that another owner leaves.
     """
     if instance_id not in owners:
         return 0
     places = max(1, entry.slots - 1)
     rank = owners.index(instance_id)
-    return places // len(owners) + (rank < places % len(owners))
+    most = places // len(owners) + (rank < places % len(owners))
+    share = -(-entry.slots // len(owners))
+    return min(most, max(1, share - 1))
