--- a/packages/geraniumlead-client/src/geraniumlead_client/commands/status.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/commands/status.py
@@ -20,6 +20,7 @@
     def add_arguments(self, parser: ArgumentParser) -> None:
         """Add the addresses."""
         add_address_arguments(parser)
+        parser.add_argument("--all", action="store_true", help="upstreams that only warm up, too")
 
     def run(self, arguments: Namespace) -> int:
         """Exit 1 when something is wrong, 4 when nobody answers."""
@@ -31,13 +32,13 @@
         if arguments.json:
             print_json(fleet.to_builtins())
         else:
-            print_fleet(fleet)
+            print_fleet(fleet, arguments.all)
         if not fleet.statuses:
             return UNREACHABLE
         return FOUND_PROBLEMS if fleet.problems else OK
 
 
-def print_fleet(fleet: FleetStatus) -> None:
+def print_fleet(fleet: FleetStatus, is_complete: bool) -> None:
     """Print tables of instances, data centres, upstreams and problems."""
     headers = [
         "instance",
@@ -54,6 +55,8 @@
     print(render_table(["data centre", "state", "instances ready"], fleet.data_centre_rows()))
     print()
     headers = ["upstream", "service", "data centre", "condition", "seen by", "in flight", "waiting"]
-    print(render_table(headers, fleet.upstream_rows()))
+    print(render_table(headers, fleet.upstream_rows(is_complete)))
+    print()
+    print(render_table(["service", "condition", "upstreams"], fleet.settling_rows()))
     for problem in fleet.problems:
         print(f"! {problem}")
--- a/packages/geraniumlead-client/src/geraniumlead_client/fleet_status.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/fleet_status.py
@@ -17,6 +17,9 @@
     "out": "its data centre was taken out",
 }
 
+SETTLING = frozenset({"unproven", "warming"})
+"""Conditions of upstreams that are called seldom; in a quiet hour most of them are so."""
+
 
 @dataclass(slots=True)
 class FleetStatus:
@@ -64,12 +67,27 @@
             for name, found in sorted(states.items())
         ]
 
-    def upstream_rows(self) -> list[list[object]]:
-        """Return one row for each upstream that is not in full use."""
+    def settling_rows(self) -> list[list[object]]:
+        """Return how many upstreams of each service are on their ordinary way to full use."""
+        counts: dict[tuple[str, str], set[str]] = {}
+        for status in self.statuses:
+            for upstream_id, found in status.get("upstreams", {}).items():
+                for condition in SETTLING & set(found["conditions"]):
+                    counts.setdefault((found["service"], condition), set()).add(upstream_id)
+        return [[*name, len(found)] for name, found in sorted(counts.items())]
+
+    def upstream_rows(self, is_complete: bool) -> list[list[object]]:
+        """Return one row for each upstream that something is wrong with.
+
+        With ``is_complete``, those that are merely unproven or warming have rows too.
+        """
+        hidden = frozenset() if is_complete else SETTLING
         merged: dict[tuple[str, str], list] = {}
         for status in self.statuses:
             for upstream_id, found in status.get("upstreams", {}).items():
                 for condition in found["conditions"]:
+                    if condition in hidden:
+                        continue
                     row = merged.setdefault((upstream_id, condition), [found, 0, 0, 0])
                     row[1] += 1
                     row[2] += found["in_flight"]
--- a/packages/geraniumlead-client/tests/client_tests/commands/test_status.py
+++ b/packages/geraniumlead-client/tests/client_tests/commands/test_status.py
@@ -43,6 +43,20 @@
         self.assertIn("cold: showed a sign of cold start", output)
         self.assertIn("suspected: answers late", output)
 
+    def test_counts_upstreams_that_only_warm_up(self):
+        found = {
+            "service": "ledger",
+            "data_centre": "noord",
+            "in_flight": 0,
+            "waiting": 0,
+            "conditions": ["warming"],
+        }
+        status = build_status(upstreams={"ledger-1": found, "ledger-2": found})
+        _, output, _ = self.run_status(status)
+        self.assertNotIn("ledger-1", output)
+        self.assertRegex(output, r"ledger +warming +2")
+        self.assertIn("ledger-1", self.run_status(status, "--all")[1])
+
     def test_names_refused_documents_and_old_configuration(self):
         status = build_status(
             refused_documents={"geraniumlead/contracts/acme": "GL-C004"}, platform_age_ms=90_000.0
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/demo/demo_plan.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/demo/demo_plan.py
@@ -10,6 +10,8 @@
 class DemoPlan:
     """Hold the deployment, the time of the run and the seed.
 
+    For ``start_s`` before ``duration_s`` callers send while no upstream is proven warm yet;
+    these requests are judged like all others and counted in a table of their own.
     ``kill`` is None, instance, upstreams or platform: which process is killed without notice.
     """
 
@@ -18,6 +20,7 @@
     base_port: int
     seed: int = 1
     duration_s: float = 20.0
+    start_s: float = 4.0
     kill: str | None = None
     load_factor: float = 1.0
 
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/demo/runner.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/demo/runner.py
@@ -15,7 +15,7 @@
 from geraniumlead_standins.demo.process_group import ProcessGroup
 from geraniumlead_standins.demo.table import render_table
 from geraniumlead_standins.demo.timeline import Timeline
-from geraniumlead_standins.demo.verdict import Verdict, judge, read_lines
+from geraniumlead_standins.demo.verdict import NANOSECONDS_PER_S, Verdict, judge, read_lines
 from geraniumlead_standins.deployments import (
     AddressPlan,
     build_documents,
@@ -89,7 +89,7 @@
         plan = LoadPlan(
             seed=self._plan.seed,
             addresses=[callers for callers, _, _ in self._addresses.instances.values()],
-            duration_s=self._plan.duration_s,
+            duration_s=self._plan.start_s + self._plan.duration_s,
             classes=build_class_loads(self._deployment, self._plan.load_factor),
             history=str(self._history(CALLERS)),
         )
@@ -99,7 +99,7 @@
         )
         timeline = asyncio.create_task(self._timeline.run())
         try:
-            await asyncio.wait_for(callers.wait(), self._plan.duration_s + LOAD_SLACK_S)
+            await asyncio.wait_for(callers.wait(), plan.duration_s + LOAD_SLACK_S)
         except TimeoutError:
             self._violations.append("the callers hang")
         if callers.returncode:
@@ -140,12 +140,19 @@
         self, requests: list[SentRequest], upstream_lines: list[dict], verdict: Verdict
     ) -> None:
         extra_load = measure_extra_load(upstream_lines)
-        summaries = summarise(requests)
+        first_ns = min((sent.sent_ns for sent in requests), default=0)
+        started_ns = first_ns + self._plan.start_s * NANOSECONDS_PER_S
+        at_start = summarise([sent for sent in requests if sent.sent_ns < started_ns])
+        summaries = summarise([sent for sent in requests if sent.sent_ns >= started_ns])
+        print(f"the first {self._plan.start_s:.0f} s, while no upstream was proven warm:")
+        print(render_table(at_start, extra_load))
+        print(f"the {self._plan.duration_s:.0f} s after:")
         print(render_table(summaries, extra_load))
         report = {
             "deployment": self._deployment.name,
             "seed": self._plan.seed,
             "kill": self._plan.kill,
+            "at_start": [asdict(summary) for summary in at_start],
             "classes": [asdict(summary) for summary in summaries],
             "extra_load": extra_load,
             "verdict": asdict(verdict),
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/demo/timeline.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/demo/timeline.py
@@ -48,7 +48,7 @@
         started_s = time.monotonic()
         async with ClientSession() as self._session:
             for due_share, name, step in sorted(moments, key=lambda moment: moment[0]):
-                due_s = started_s + due_share * plan.duration_s
+                due_s = started_s + plan.start_s + due_share * plan.duration_s
                 await asyncio.sleep(max(0.0, due_s - time.monotonic()))
                 try:
                     await step()
