--- a/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/page.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/page.py
@@ -6,6 +6,7 @@
     CLOSING,
     CONTROL_TEXT,
     DATA_PATH_TEXT,
+    MECHANISMS,
     OPENING,
     RECOVERY_TEXT,
     TAIL_TEXT,
@@ -75,10 +76,17 @@
 
 def _render_roles(costs: list) -> str:
     headings = ["role", "figure", *(size.name for size, _ in costs)]
-    return "## Each role at three sizes, for one node\n\n" + build_table(
-        headings,
-        [[*row[:2], *(_show(row[2](size, found)) for size, found in costs)] for row in _ROWS],
-    )
+    rows = [
+        [role, figure, *(_show(value(size, found)) for size, found in costs)]
+        for role, figure, value in _ROWS
+    ]
+    return "## Each role at three sizes, for one node\n\n" + build_table(headings, rows)
+
+
+def _render_mechanisms() -> str:
+    headings = ["role", "what carries it", "first limit"]
+    rows = [list(row) for row in MECHANISMS]
+    return "## Mechanism and first limit of each role\n\n" + build_table(headings, rows)
 
 
 _ROWS = (
