Read one request as one, not as ten a second

A meter of demand that starts anew divided a single event by a tenth of its time constant; peers took it for need above the equal share and lent 80% of theirs. Ruled out: the contract's figures, and the bucket's start.

--- a/packages/geraniumlead/src/geraniumlead/admission/decaying_rate.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/decaying_rate.py
@@ -2,6 +2,9 @@
 
 from math import exp
 
+LEAST_WEIGHT_SHARE = 0.5
+"""Part of the time constant by which an early count is divided at least."""
+
 
 class DecayingRate:
     """Count events with exponentially fading weight.
@@ -32,8 +35,10 @@
         self._fade(now_ms)
         elapsed_ms = now_ms - self._started_ms
         weight_ms = self._time_constant_ms * (1.0 - exp(-elapsed_ms / self._time_constant_ms))
-        # The first tenth of the time constant would turn a single event into a flood.
-        return 1000.0 * self._value / max(weight_ms, 0.1 * self._time_constant_ms)
+        # A short start would turn a single event into a flood, and peers would lend their
+        # shares to it: with a tenth of the time constant one request read as ten a second.
+        least_ms = LEAST_WEIGHT_SHARE * self._time_constant_ms
+        return 1000.0 * self._value / max(weight_ms, least_ms)
 
     def _fade(self, now_ms: float) -> None:
         if now_ms > self._updated_ms:
