--- a/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
@@ -18,8 +18,14 @@
 logger = logging.getLogger("geraniumlead")
 
 HIGH_WATER_MESSAGES = 1_000
-HEARTBEAT_INTERVAL_MS = 1_000
-HEARTBEAT_TIMEOUT_MS = 3_000
+UNACKNOWLEDGED_MS = 3_000
+"""Time after which a connection whose data nobody acknowledges is replaced. It costs nothing
+while the connection is idle; heartbeats of ZeroMQ each second on the 460 connections of a
+large data centre would take several times what control may cost."""
+
+KEEPALIVE_IDLE_S = 60
+"""An accepted connection that was silent for so long is asked whether it lives."""
+
 RECONNECT_MS = 100
 LONGEST_RECONNECT_MS = 2_000
 MOST_AT_ONCE = 100
@@ -32,7 +38,8 @@
     """Bind one ROUTER for what comes in, and keep one DEALER for each peer written to.
 
     A message that cannot be queued is dropped: every message may be lost, and the decisions
-    above rely on none. ZMTP heartbeats end connections that went silent.
+    above rely on none. The kernel ends
+    connections that went silent: what was written to them is never acknowledged.
 
     With keys, the sender of a message is the owner of the key that its connection proved;
     the name that it gives itself counts for nothing, and unknown keys are refused. Without
@@ -151,8 +158,9 @@
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, LONGEST_RECONNECT_MS)
-        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
-        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        socket.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MS)
+        socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
+        socket.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S)
 
     def _set_keys(self, socket: zmq.Socket) -> None:
         socket.curve_publickey = self._settings.peer_public_key.encode()
--- a/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
@@ -18,12 +18,21 @@
 class ConfigurationHandler:
     """Bring accepted documents into force and spread them in the data centre."""
 
-    __slots__ = ("_calls", "_divergence", "_parts", "_reread_ms", "contact", "watching")
+    __slots__ = (
+        "_calls",
+        "_divergence",
+        "_owners",
+        "_parts",
+        "_reread_ms",
+        "contact",
+        "watching",
+    )
 
     def __init__(self, parts: InstanceParts, calls: CallHandler) -> None:
         self._parts = parts
         self._calls = calls
         self._divergence = DivergenceWatch()
+        self._owners = OwnerTable(parts.store.view)
         self._reread_ms = float("-inf")
         self.contact = PlatformContact(parts.random)
         self.watching = False
@@ -152,7 +161,7 @@
     def _adopt_view(self, now_ms: float) -> None:
         parts = self._parts
         view = parts.store.view
-        owners = OwnerTable(view)
+        owners = self._owners = OwnerTable.from_previous(view, self._owners)
         parts.membership.update(view)
         parts.admission.update(view)
         parts.router.update(view, owners)
--- a/packages/geraniumlead/src/geraniumlead/ownership/owners.py
+++ b/packages/geraniumlead/src/geraniumlead/ownership/owners.py
@@ -19,6 +19,29 @@
         self._view = view
         self._owners: dict[str, tuple[str, ...]] = {}
 
+    @classmethod
+    def from_previous(cls, view: ClusterView, previous: "OwnerTable") -> "OwnerTable":
+        """Build the table of a new view from that of the view before.
+
+        Load pattern: 11,000 changes a day, nearly all of which touch no owner. To rank the
+        owners of every upstream anew takes 0.2 ms for each of them at 230 instances, so the
+        first queries after each change would stall for a good part of a second.
+        """
+        table = cls(view)
+        moves = {name: _find_moves(previous._view, view, name) for name in view.instances}
+        for upstream_id, owners in previous._owners.items():
+            if not _is_placed_alike(previous._view, view, upstream_id):
+                continue
+            removed, added = moves[view.upstreams[upstream_id].data_centre]
+            if not removed.isdisjoint(owners):
+                continue
+            if added:
+                # The owners and the newcomers hold the highest ranks of the whole list.
+                names = [*owners, *added]
+                owners = tuple(rank_by_rendezvous(upstream_id, names)[: table._most(upstream_id)])
+            table._owners[upstream_id] = owners
+        return table
+
     def owners_of(self, upstream_id: str) -> tuple[str, ...]:
         """Return the owners of an upstream in rendezvous order.
 
@@ -32,7 +55,30 @@
 
     def _compute(self, upstream_id: str) -> tuple[str, ...]:
         placed = self._view.upstreams[upstream_id]
-        listed = self._view.instances.get(placed.data_centre, ())
-        names = [entry.instance_id for entry in listed if entry.state == "live"]
-        most = min(MOST_OWNERS, max(1, placed.entry.connections // LEAST_CONNECTIONS))
-        return tuple(rank_by_rendezvous(upstream_id, names)[:most])
+        names = _live_names(self._view, placed.data_centre)
+        return tuple(rank_by_rendezvous(upstream_id, names)[: self._most(upstream_id)])
+
+    def _most(self, upstream_id: str) -> int:
+        connections = self._view.upstreams[upstream_id].entry.connections
+        return min(MOST_OWNERS, max(1, connections // LEAST_CONNECTIONS))
+
+
+def _live_names(view: ClusterView, data_centre: str) -> frozenset[str]:
+    listed = view.instances.get(data_centre, ())
+    return frozenset(entry.instance_id for entry in listed if entry.state == "live")
+
+
+def _find_moves(
+    before: ClusterView, after: ClusterView, data_centre: str
+) -> tuple[frozenset[str], frozenset[str]]:
+    if before.instances.get(data_centre) == after.instances.get(data_centre):
+        return frozenset(), frozenset()
+    old, new = _live_names(before, data_centre), _live_names(after, data_centre)
+    return old - new, new - old
+
+
+def _is_placed_alike(before: ClusterView, after: ClusterView, upstream_id: str) -> bool:
+    old, new = before.upstreams[upstream_id], after.upstreams.get(upstream_id)
+    if new is None or old.data_centre != new.data_centre:
+        return False
+    return old.entry.connections == new.entry.connections and new.data_centre in after.instances
