--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/startup/__main__.py
@@ -0,0 +1,202 @@
+"""Measure start and memory: ``python -m geraniumlead_standins.startup``."""
+
+import argparse
+import asyncio
+import time
+from datetime import datetime
+from pathlib import Path
+
+import psutil
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+from msgspec import Struct, structs
+from msgspec.json import decode, encode
+
+from geraniumlead.settings import LimitSettings
+from geraniumlead_standins.demo.free_ports import find_base_port
+from geraniumlead_standins.demo.process_group import ProcessGroup
+from geraniumlead_standins.deployments import (
+    AddressPlan,
+    build_documents,
+    build_instance_settings,
+    build_upstream_plan,
+)
+from geraniumlead_standins.startup.small_deployment import (
+    CLASS_NAME,
+    CUSTOMER,
+    build_small_deployment,
+)
+
+FOLDER = Path("var/startup")
+FIRST_PORT = 27_600
+SHARDS = 8
+SLOTS = 600
+SLOWDOWN = 10_000.0
+WARM_UP_REQUESTS = 3_000
+WARM_UP_AT_ONCE = 50
+SETTLE_S = 8.0
+BYTES_PER_MB = 1_000_000
+
+
+class StartupFigures(Struct, kw_only=True):
+    """Hold what one run measured."""
+
+    ready_s: list[float]
+    idle_mb: float
+    warmed_mb: float
+    open_requests: int
+    open_mb: float
+    bytes_per_open_request: float
+
+
+class StartupRun:
+    """Start one instance several times, then load the last one."""
+
+    def __init__(self, folder: Path, requests: int, starts: int) -> None:
+        self._folder = folder
+        self._requests = requests
+        self._starts = starts
+        self._deployment = build_small_deployment(SHARDS, SLOTS, requests)
+        needed = AddressPlan.from_base_port(self._deployment, 1).port_count
+        base_port = find_base_port(FIRST_PORT, needed)
+        self._addresses = AddressPlan.from_base_port(self._deployment, base_port)
+        self._processes = ProcessGroup(folder)
+
+    async def run(self) -> StartupFigures:
+        """Measure; no process is left."""
+        try:
+            await self._start_stand_ins()
+            ready_s = []
+            for number in range(self._starts):
+                if number:
+                    await self._processes.stop(["instance"])
+                ready_s.append(await self._start_instance())
+            await asyncio.sleep(SETTLE_S)
+            return await self._measure_memory(ready_s)
+        finally:
+            await self._processes.stop_all()
+
+    async def _start_stand_ins(self) -> None:
+        documents = self._write("documents", build_documents(self._deployment, self._addresses))
+        await self._processes.start(
+            "platform",
+            "geraniumlead_standins.platform",
+            *("--listen", self._addresses.platform, "--documents", str(documents)),
+        )
+        plan = build_upstream_plan(self._deployment, self._addresses, "noord", 1, "/dev/null")
+        path = self._write("upstreams", plan)
+        await self._processes.start(
+            "upstreams", "geraniumlead_standins.upstream", "--plan", str(path)
+        )
+        await asyncio.sleep(2.0)
+
+    async def _start_instance(self) -> float:
+        settings = build_instance_settings(self._deployment, self._addresses)["noord-1"]
+        limits = LimitSettings(open_requests=2 * self._requests, queued_requests=self._requests)
+        path = self._write("instance", structs.replace(settings, limits=limits))
+        started_s = time.monotonic()
+        self._process = await self._processes.start(
+            "instance", "geraniumlead_server.main", "--settings", str(path)
+        )
+        async with ClientSession() as session:
+            while not await self._is_ready(session):
+                await asyncio.sleep(0.01)
+        return time.monotonic() - started_s
+
+    async def _is_ready(self, session: ClientSession) -> bool:
+        try:
+            async with session.get(f"http://{self._callers}/ready") as response:
+                return response.status == 200
+        except (ClientError, OSError):
+            return False
+
+    async def _measure_memory(self, ready_s: list[float]) -> StartupFigures:
+        idle_mb = self._resident_mb()
+        connector = TCPConnector(limit=0)
+        async with ClientSession(connector=connector, timeout=ClientTimeout(total=None)) as session:
+            gate = asyncio.Semaphore(WARM_UP_AT_ONCE)
+            await asyncio.gather(
+                *(self._send(session, number, gate) for number in range(WARM_UP_REQUESTS))
+            )
+            warmed_mb = self._resident_mb()
+            await self._slow_down(session)
+            free = asyncio.Semaphore(self._requests)
+            tasks = [
+                asyncio.create_task(self._send(session, number, free))
+                for number in range(self._requests)
+            ]
+            open_requests = await self._wait_until_open(session)
+            open_mb = self._resident_mb()
+            for task in tasks:
+                task.cancel()
+        extra_bytes = (open_mb - warmed_mb) * BYTES_PER_MB
+        return StartupFigures(
+            ready_s=[round(value, 3) for value in ready_s],
+            idle_mb=round(idle_mb, 1),
+            warmed_mb=round(warmed_mb, 1),
+            open_requests=open_requests,
+            open_mb=round(open_mb, 1),
+            bytes_per_open_request=round(extra_bytes / max(1, open_requests)),
+        )
+
+    async def _send(self, session: ClientSession, number: int, gate: asyncio.Semaphore) -> None:
+        headers = {
+            "Authorization": f"Bearer {self._deployment.credentials[CUSTOMER]}",
+            "Content-Type": "application/json",
+        }
+        body = encode({"class": CLASS_NAME, "query": {"text": "x"}, "key": f"k{number}"})
+        async with (
+            gate,
+            session.post(
+                f"http://{self._callers}/v1/queries", data=body, headers=headers
+            ) as response,
+        ):
+            await response.read()
+
+    async def _slow_down(self, session: ClientSession) -> None:
+        faults = {name: {"slowdown": SLOWDOWN} for name in self._addresses.upstreams}
+        control = self._addresses.controls["noord"]
+        async with session.put(f"http://{control}/faults", data=encode(faults)) as response:
+            response.raise_for_status()
+
+    async def _wait_until_open(self, session: ClientSession) -> int:
+        # Until the number stops growing: some may be refused, and are not counted.
+        last, same = -1, 0
+        while same < 5:
+            async with session.get(f"http://{self._operators}/v1/status") as response:
+                found = decode(await response.read())["open_requests"]
+            same = same + 1 if found == last else 0
+            last = found
+            await asyncio.sleep(0.2)
+        return last
+
+    def _resident_mb(self) -> float:
+        return psutil.Process(self._process.pid).memory_info().rss / BYTES_PER_MB
+
+    @property
+    def _callers(self) -> str:
+        return self._addresses.instances["noord-1"][0]
+
+    @property
+    def _operators(self) -> str:
+        return self._addresses.instances["noord-1"][1]
+
+    def _write(self, name: str, value: object) -> Path:
+        path = self._folder / f"{name}.json"
+        path.write_bytes(encode(value))
+        return path
+
+
+def main() -> None:
+    """Measure and print the figures as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--requests", type=int, default=10_000)
+    parser.add_argument("--starts", type=int, default=5)
+    arguments = parser.parse_args()
+    folder = FOLDER / datetime.now().strftime("%Y%m%d-%H%M%S-%f")
+    folder.mkdir(parents=True)
+    figures = asyncio.run(StartupRun(folder, arguments.requests, arguments.starts).run())
+    print(encode(figures).decode())
+
+
+if __name__ == "__main__":
+    main()
