Hedge late shards, park shards without a replica, and end partial answers early

One check at a time for each query; the delay is the service's quantile beyond which just the hedge budget lies.

--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/load_run.py
@@ -0,0 +1,119 @@
+"""Send queries to a small cluster at a steady rate and sum up what callers receive."""
+
+from dataclasses import dataclass, field
+
+from geraniumlead.actions import AnswerCaller, CallUpstream, GiveTicket
+from geraniumlead.events import QueryArrived
+from geraniumlead.requests import Answered, CallerRequest, NotRun
+from geraniumlead_standins.bench.result_row import ResultRow
+from geraniumlead_standins.virtual.fake_upstream import FakeUpstream
+from geraniumlead_standins.virtual.small_cluster import CUSTOMER, SmallCluster
+
+SETTLED_MS = 2_000.0
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """Remember one outcome, when its request came and how long it took."""
+
+    arrived_ms: float
+    latency_ms: float
+    outcome: object
+    extra_subqueries: int
+
+
+@dataclass(slots=True)
+class LoadRun:
+    """Draw arrivals from the run's seed and collect the answers of one class."""
+
+    cluster: SmallCluster
+    rate_per_s: float
+    class_name: str = "lookup"
+    deadline_ms: float = 200.0
+    least_coverage: float = 1.0
+    entries: list[str] = field(default_factory=list)
+    answers: list[Answer] = field(default_factory=list)
+    sent: int = 0
+    calls: int = 0
+
+    def __post_init__(self) -> None:
+        """Listen to the run, and let it start up."""
+        run = self.cluster.run
+        run.on_answer = self._take_answer
+        run.on_action = self._count_call
+        self.entries = self.entries or list(run.instances)
+        run.queue.run_until(SETTLED_MS)
+
+    def send_until(self, end_ms: float) -> None:
+        """Send queries at the rate, with exponential gaps, to the entries in turn."""
+        run = self.cluster.run
+        while run.now_ms < end_ms:
+            now_ms = run.now_ms
+            request = CallerRequest(
+                f"r{self.sent}",
+                CUSTOMER,
+                self.class_name,
+                b"{}",
+                now_ms,
+                now_ms + self.deadline_ms,
+                self.least_coverage,
+            )
+            entry = self.entries[self.sent % len(self.entries)]
+            self.sent += 1
+            run.deliver(entry, QueryArrived(request))
+            gap_ms = run.random.expovariate(self.rate_per_s) * 1_000.0
+            run.queue.run_until(min(end_ms, now_ms + gap_ms))
+
+    def finish(self) -> None:
+        """Wait for the last deadlines."""
+        self.cluster.run.queue.run_until(self.cluster.run.now_ms + 2.0 * self.deadline_ms)
+
+    def upstreams(self) -> list[FakeUpstream]:
+        """Return the upstreams in the order of their addresses."""
+        return list(self.cluster.run.upstreams.values())
+
+    def summarise(
+        self,
+        pattern: str,
+        variant: str,
+        since_ms: float = SETTLED_MS,
+        until_ms: float = 1e12,
+        **more,
+    ) -> ResultRow:
+        """Return what callers received whose requests came in a span of time."""
+        chosen = [one for one in self.answers if since_ms <= one.arrived_ms < until_ms]
+        answered = [one for one in chosen if isinstance(one.outcome, Answered)]
+        latencies_ms = sorted(one.latency_ms for one in answered)
+        span_s = (min(until_ms, self.cluster.run.now_ms) - since_ms) / 1_000.0
+        extra = sum(one.extra_subqueries for one in chosen)
+        first = len(chosen) * self.cluster.size.shards
+        covered = sum(one.outcome.coverage.share for one in answered)
+        not_run = sum(1 for one in chosen if isinstance(one.outcome, NotRun))
+        return ResultRow(
+            pattern=pattern,
+            variant=variant,
+            class_name=self.class_name,
+            p50_ms=_quantile(latencies_ms, 0.5),
+            p99_ms=_quantile(latencies_ms, 0.99),
+            p999_ms=_quantile(latencies_ms, 0.999),
+            coverage=covered / len(answered) if answered else None,
+            goodput_per_s=len(answered) / span_s,
+            refused=not_run,
+            extra_load_share=extra / first if first else 0.0,
+            fallen=sum(upstream.fallen for upstream in self.upstreams()),
+            more={"failed": len(chosen) - len(answered) - not_run, **more},
+        )
+
+    def _take_answer(self, name: str, action: AnswerCaller | GiveTicket, now_ms: float) -> None:
+        if isinstance(action, AnswerCaller):
+            latency_ms = now_ms - action.arrived_ms
+            self.answers.append(
+                Answer(action.arrived_ms, latency_ms, action.outcome, action.extra_subqueries)
+            )
+
+    def _count_call(self, name: str, action: object, now_ms: float) -> None:
+        self.calls += isinstance(action, CallUpstream)
+
+
+def _quantile(ordered: list[float], share: float) -> float | None:
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else None
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/coordination/call_book.py
@@ -0,0 +1,136 @@
+"""Send the subqueries of open queries and remember which are out."""
+
+from geraniumlead.coordination.open_call import OpenCall
+from geraniumlead.coordination.open_query import OpenQuery
+from geraniumlead.coordination.shard_state import ShardState
+from geraniumlead.coordination.steps import AskUpstream, CoordinationStep, DropCall
+from geraniumlead.routing.route import Route
+from geraniumlead.routing.router import Router
+from geraniumlead.tail.straggler_clock import StragglerClock
+from geraniumlead.upstreams.answers import Records, UpstreamAnswer
+from geraniumlead.upstreams.subquery import Subquery
+
+
+class CallBook:
+    """Tie every call that is out to its shard, and tell the router what comes of it."""
+
+    __slots__ = ("_calls", "_clock", "_next_call", "_prefix", "_router")
+
+    def __init__(self, prefix: str, router: Router, clock: StragglerClock) -> None:
+        self._prefix = prefix
+        self._router = router
+        self._clock = clock
+        self._calls: dict[str, OpenCall] = {}
+        self._next_call = 0
+
+    def ask_shard(
+        self, query: OpenQuery, shard: ShardState, now_ms: float, only_good: bool = False
+    ) -> list[AskUpstream]:
+        """Send a subquery to the best replica that was not tried; empty when there is none."""
+        if query.request.deadline_ms <= now_ms:
+            return []
+        is_long = query.traffic_class.long_running
+        route = self._router.choose(shard.plan.replicas, shard.tried, now_ms, is_long, only_good)
+        if route is None:
+            return []
+        step = self._send(query, shard, route, now_ms)
+        shard.call_ids.append(step.subquery.call_id)
+        shard.tried.add(route.upstream_id)
+        query.extra_subqueries += shard.sent_count > 0
+        shard.sent_count += 1
+        shard.sent_ms, shard.is_overdue, shard.parked_until_ms = now_ms, False, None
+        return [step]
+
+    def has_suspects(self) -> bool:
+        """Return whether a replica is suspected and may want a probe."""
+        return bool(self._router.suspected())
+
+    def probe_suspect(
+        self, query: OpenQuery, shard: ShardState, now_ms: float
+    ) -> list[AskUpstream]:
+        """Send the subquery also to a suspected replica, to see whether it has recovered."""
+        route = self._router.take_probe(shard.plan.replicas, shard.tried, now_ms)
+        if route is None:
+            return []
+        step = self._send(query, shard, route, now_ms, is_probe=True)
+        query.probe_ids.append(step.subquery.call_id)
+        query.extra_subqueries += 1
+        return [step]
+
+    def take(self, call_id: str, answer: UpstreamAnswer, now_ms: float) -> OpenCall | None:
+        """Take a call out that ended; None when nobody waits for it."""
+        call = self._calls.pop(call_id, None)
+        if call is None:
+            return None
+        latency_ms = now_ms - call.sent_ms
+        self._router.note_answer(call.route.upstream_id, answer, latency_ms, now_ms)
+        if call.is_probe:
+            call.query.probe_ids.remove(call_id)
+            return None
+        if isinstance(answer, Records):
+            self._clock.record(call.query.plan.service, latency_ms, now_ms)
+        call.shard.call_ids.remove(call_id)
+        return call
+
+    def note_overdue(self, shard: ShardState, now_ms: float) -> None:
+        """Tell the router of a shard whose latest call is late."""
+        shard.is_overdue = True
+        call = self._calls[shard.call_ids[-1]]
+        self._router.note_overdue(call.route.upstream_id, now_ms)
+
+    def drop_shard(self, shard: ShardState, now_ms: float) -> list[CoordinationStep]:
+        """Cancel the calls that are out for a shard."""
+        steps: list[CoordinationStep] = []
+        for call_id in shard.call_ids:
+            call = self._calls[call_id]
+            # Without the late ones that lost to a hedge, the quantile would sink from window
+            # to window, and ever more subqueries would count as late.
+            if shard.sent_count > 1 and call.sent_ms < shard.sent_ms:
+                service = call.query.plan.service
+                self._clock.record(service, now_ms - call.sent_ms, now_ms)
+            steps.append(self._drop(call_id, now_ms))
+        shard.call_ids.clear()
+        return steps
+
+    def drop_query(self, query: OpenQuery, now_ms: float) -> list[CoordinationStep]:
+        """Cancel everything that is out for a query."""
+        steps = [step for shard in query.shards for step in self.drop_shard(shard, now_ms)]
+        steps += [self._drop(call_id, now_ms) for call_id in query.probe_ids]
+        query.probe_ids.clear()
+        return steps
+
+    def _drop(self, call_id: str, now_ms: float) -> DropCall:
+        call = self._calls.pop(call_id)
+        self._router.note_cancelled(call.route.upstream_id, now_ms - call.sent_ms, now_ms)
+        return DropCall(call_id, call.route)
+
+    def _send(
+        self,
+        query: OpenQuery,
+        shard: ShardState,
+        route: Route,
+        now_ms: float,
+        is_probe: bool = False,
+    ) -> AskUpstream:
+        self._next_call += 1
+        call_id = f"{self._prefix}{self._next_call}"
+        self._calls[call_id] = OpenCall(query, shard, route, now_ms, is_probe)
+        self._router.note_sent(route.upstream_id)
+        query.subqueries += 1
+        request = query.request
+        subquery = Subquery(
+            call_id=call_id,
+            request_id=request.request_id,
+            upstream_id=route.upstream_id,
+            service=query.plan.service,
+            index_version=query.plan.index_version,
+            shard=shard.plan.shard,
+            remaining_ms=request.deadline_ms - now_ms,
+            query=request.query,
+            idempotent=query.traffic_class.idempotent,
+            customer=request.customer,
+            class_name=request.class_name,
+            priority=query.traffic_class.priority,
+            attempt=shard.sent_count + 1,
+        )
+        return AskUpstream(subquery, route)
--- a/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
@@ -3,11 +3,14 @@
 from heapq import heappop, heappush
 
 from geraniumlead.configuration.cluster_view import ClusterView
+from geraniumlead.coordination.budget_book import BudgetBook
+from geraniumlead.coordination.call_book import CallBook
+from geraniumlead.coordination.missing import missing_reason_of
 from geraniumlead.coordination.open_call import OpenCall
 from geraniumlead.coordination.open_query import OpenQuery
-from geraniumlead.coordination.retry_budget import RetryBudget
 from geraniumlead.coordination.shard_state import ShardState
-from geraniumlead.coordination.steps import AskUpstream, CoordinationStep, DropCall, EndQuery
+from geraniumlead.coordination.steps import CoordinationStep, EndQuery
+from geraniumlead.coordination.straggler_watch import NEVER_MS, StragglerWatch
 from geraniumlead.documents.traffic_class import TrafficClass
 from geraniumlead.planning.plan_query import plan_query
 from geraniumlead.planning.query_plan import QueryPlan
@@ -15,19 +18,17 @@
 from geraniumlead.requests.outcomes import Answered, Failed, NotRun, Outcome, Unknown
 from geraniumlead.requests.reasons import MissingReason, RefusalReason
 from geraniumlead.routing.router import Router
+from geraniumlead.tail.straggler_clock import StragglerClock
 from geraniumlead.upstreams.answers import (
     SURELY_NOT_RUN,
     Cold,
-    ConnectionLost,
     Draining,
     NotReached,
     Records,
     Shed,
-    TimedOut,
     UpstreamAnswer,
     WrongVersion,
 )
-from geraniumlead.upstreams.subquery import Subquery
 
 SHED_RETRY_AFTER_MS = 200.0
 
@@ -40,28 +41,19 @@
 
     Every answer comes from the index version of its plan: an answer of another version is
     never merged, and a query whose version is retired under it starts again on another one.
+    This is the one layer that retries, so that tries never multiply.
     """
 
-    __slots__ = (
-        "_budgets",
-        "_call_prefix",
-        "_calls",
-        "_deadlines",
-        "_next_call",
-        "_queries",
-        "_router",
-        "_view",
-    )
+    __slots__ = ("_budgets", "_calls", "_queries", "_view", "_wakes", "_watch")
 
     def __init__(self, call_prefix: str, router: Router) -> None:
-        self._call_prefix = call_prefix
-        self._router = router
+        clock = StragglerClock()
         self._view = ClusterView()
         self._queries: dict[str, OpenQuery] = {}
-        self._calls: dict[str, OpenCall] = {}
-        self._deadlines: list[tuple[float, str]] = []
-        self._budgets: dict[tuple[str, str], RetryBudget] = {}
-        self._next_call = 0
+        self._wakes: list[tuple[float, str]] = []
+        self._budgets = BudgetBook()
+        self._calls = CallBook(call_prefix, router, clock)
+        self._watch = StragglerWatch(self._calls, clock, self._budgets)
 
     def __len__(self) -> int:
         """Return the number of open queries."""
@@ -77,40 +69,48 @@
         """Send the first subqueries of a query."""
         query = OpenQuery.from_plan(request, traffic_class, plan, now_ms)
         self._queries[request.request_id] = query
-        heappush(self._deadlines, (request.deadline_ms, request.request_id))
-        self._budget_of(query).earn(len(plan.shards))
+        heappush(self._wakes, (request.deadline_ms, request.request_id))
+        self._budgets.earn(query)
         return self._ask_all(query, now_ms)
 
     def finish_call(
         self, call_id: str, answer: UpstreamAnswer, now_ms: float
     ) -> list[CoordinationStep]:
         """Take in the end of a subquery; one that nobody waits for is dropped."""
-        call = self._calls.pop(call_id, None)
+        call = self._calls.take(call_id, answer, now_ms)
         if call is None:
             return []
-        self._router.note_answer(call.route.upstream_id, answer, now_ms - call.sent_ms, now_ms)
-        call.shard.call_ids.remove(call_id)
         steps = self._take_answer(call, answer, now_ms)
-        return steps + self._end_if_resolved(call.query, now_ms)
+        return steps + self._end_if_done(call.query, now_ms)
 
     def drop(self, request_id: str, now_ms: float) -> list[CoordinationStep]:
         """Forget a query whose caller is gone."""
         query = self._queries.pop(request_id, None)
-        return [] if query is None else self._drop_calls(query, now_ms)
+        return [] if query is None else self._calls.drop_query(query, now_ms)
 
     def expire(self, now_ms: float) -> list[CoordinationStep]:
-        """End the queries whose deadline has come, with what they have."""
+        """Look at stragglers, and end the queries whose deadline has come."""
         steps: list[CoordinationStep] = []
-        while self._deadlines and self._deadlines[0][0] <= now_ms:
-            _, request_id = heappop(self._deadlines)
+        while self._wakes and self._wakes[0][0] <= now_ms:
+            _, request_id = heappop(self._wakes)
             query = self._queries.get(request_id)
-            if query is not None:
+            if query is None:
+                continue
+            if query.request.deadline_ms <= now_ms:
                 steps += self._end(query, self._outcome_of(query), now_ms)
+            elif query.check_ms <= now_ms:
+                steps += self._watch.check(query, now_ms)
+                self._arm_check(query)
+                steps += self._end_if_stragglers_are_lost(query, now_ms)
         return steps
 
     def next_wake_ms(self) -> float | None:
-        """Return the earliest deadline."""
-        return self._deadlines[0][0] if self._deadlines else None
+        """Return the earliest deadline or check."""
+        return self._wakes[0][0] if self._wakes else None
+
+    def _arm_check(self, query: OpenQuery) -> None:
+        if query.check_ms < NEVER_MS:
+            heappush(self._wakes, (query.check_ms, query.request.request_id))
 
     def _take_answer(
         self, call: OpenCall, answer: UpstreamAnswer, now_ms: float
@@ -145,12 +145,12 @@
     ) -> list[CoordinationStep]:
         shard.records, shard.missing_reason = records, reason
         query.unresolved -= 1
-        return self._drop_shard_calls(shard, now_ms)
+        return self._calls.drop_shard(shard, now_ms)
 
     def _retire_replica(self, call: OpenCall, now_ms: float) -> list[CoordinationStep]:
         query, shard = call.query, call.shard
         shard.wrong_version_count += 1
-        steps = self._ask_shard(query, shard, now_ms, is_extra=True)
+        steps = self._calls.ask_shard(query, shard, now_ms)
         if steps or shard.call_ids:
             return steps
         return self._start_again(query, now_ms) or self._resolve(
@@ -162,7 +162,7 @@
         plan = plan_query(self._view, query.plan.service, query.request.key, excluded)
         if plan is None:
             return []
-        steps = self._drop_calls(query, now_ms)
+        steps = self._calls.drop_query(query, now_ms)
         query.start_again(plan)
         return steps + self._ask_all(query, now_ms)
 
@@ -171,63 +171,82 @@
     ) -> list[CoordinationStep]:
         if shard.call_ids:
             return []
-        if isinstance(answer, COSTS_NO_LOAD) or self._budget_of(query).spend():
-            steps = self._ask_shard(query, shard, now_ms, is_extra=True)
+        reason = missing_reason_of(answer)
+        if isinstance(answer, COSTS_NO_LOAD) or self._budgets.retries_of(query).spend():
+            steps = self._calls.ask_shard(query, shard, now_ms)
             if steps:
                 return steps
-        return self._resolve(query, shard, None, _missing_reason_of(answer), now_ms)
+            if not isinstance(answer, Shed) and self._park(query, shard, reason, now_ms):
+                return []
+        return self._resolve(query, shard, None, reason, now_ms)
+
+    def _park(
+        self, query: OpenQuery, shard: ShardState, reason: MissingReason, now_ms: float
+    ) -> bool:
+        armed_ms = query.check_ms
+        if not self._watch.park(query, shard, reason, now_ms):
+            return False
+        if query.check_ms < armed_ms:
+            self._arm_check(query)
+        return True
 
     def _ask_all(self, query: OpenQuery, now_ms: float) -> list[CoordinationStep]:
         steps: list[CoordinationStep] = []
         for shard in query.shards:
-            asked = self._ask_shard(query, shard, now_ms, is_extra=False)
-            if not asked:
-                asked = self._resolve(query, shard, None, MissingReason.NO_REPLICA, now_ms)
+            asked = self._calls.ask_shard(query, shard, now_ms)
             steps += asked
-        return steps + self._end_if_resolved(query, now_ms)
+            if asked:
+                steps += self._probe(query, shard, now_ms)
+            elif not self._watch.park(query, shard, MissingReason.NO_REPLICA, now_ms):
+                self._resolve(query, shard, None, MissingReason.NO_REPLICA, now_ms)
+        self._watch.schedule(query, now_ms)
+        self._arm_check(query)
+        return steps + self._end_if_done(query, now_ms)
+
+    def _probe(self, query: OpenQuery, shard: ShardState, now_ms: float) -> list[CoordinationStep]:
+        if not query.traffic_class.idempotent or not self._calls.has_suspects():
+            return []
+        budget = self._budgets.hedges_of(query)
+        if not budget.spend():
+            return []
+        steps = self._calls.probe_suspect(query, shard, now_ms)
+        if not steps:
+            budget.give_back()
+        return list(steps)
 
-    def _ask_shard(
-        self, query: OpenQuery, shard: ShardState, now_ms: float, is_extra: bool
-    ) -> list[CoordinationStep]:
-        is_long = query.traffic_class.long_running
-        route = self._router.choose(shard.plan.replicas, shard.tried, now_ms, is_long)
-        remaining_ms = query.request.deadline_ms - now_ms
-        if route is None or remaining_ms <= 0:
+    def _end_if_done(self, query: OpenQuery, now_ms: float) -> list[CoordinationStep]:
+        if query.request.request_id not in self._queries:
             return []
-        self._next_call += 1
-        call_id = f"{self._call_prefix}{self._next_call}"
-        shard.tried.add(route.upstream_id)
-        shard.call_ids.append(call_id)
-        self._calls[call_id] = OpenCall(query, shard, route, now_ms)
-        self._router.note_sent(route.upstream_id)
-        query.subqueries += 1
-        query.extra_subqueries += is_extra
-        request = query.request
-        subquery = Subquery(
-            call_id=call_id,
-            request_id=request.request_id,
-            upstream_id=route.upstream_id,
-            service=query.plan.service,
-            index_version=query.plan.index_version,
-            shard=shard.plan.shard,
-            remaining_ms=remaining_ms,
-            query=request.query,
-            idempotent=query.traffic_class.idempotent,
-            customer=request.customer,
-            class_name=request.class_name,
-            priority=query.traffic_class.priority,
-            attempt=len(shard.tried),
-        )
-        return [AskUpstream(subquery, route)]
+        if query.unresolved == 0:
+            return self._end(query, self._outcome_of(query), now_ms)
+        # Counted here, as a look at every shard for every answer would grow with the square.
+        if query.unresolved == query.parked:
+            return self._end_if_stragglers_are_lost(query, now_ms)
+        return []
+
+    def _end_if_stragglers_are_lost(
+        self, query: OpenQuery, now_ms: float
+    ) -> list[CoordinationStep]:
+        """End a query early whose class may be answered in part.
 
-    def _end_if_resolved(self, query: OpenQuery, now_ms: float) -> list[CoordinationStep]:
-        if query.unresolved or query.request.request_id not in self._queries:
+        Its caller waits for an answer that is whole enough, and what is missing is beyond
+        reach: to wait longer would cost latency and seldom bring a shard.
+        """
+        if query.traffic_class.waits_for_all or not query.has_least_coverage():
             return []
-        return self._end(query, self._outcome_of(query), now_ms)
+        if not self._watch.is_beyond_reach(query, now_ms):
+            return []
+        steps: list[CoordinationStep] = []
+        for shard in query.shards:
+            if not shard.is_resolved:
+                parked = shard.parked_until_ms is not None
+                reason = shard.last_reason if parked else MissingReason.OVERDUE
+                steps += self._resolve(query, shard, None, reason, now_ms)
+        return steps + self._end(query, self._outcome_of(query), now_ms)
 
     def _end(self, query: OpenQuery, outcome: Outcome, now_ms: float) -> list[CoordinationStep]:
         del self._queries[query.request.request_id]
-        steps = self._drop_calls(query, now_ms)
+        steps = self._calls.drop_query(query, now_ms)
         queued_ms = query.started_ms - query.request.arrived_ms
         return [
             *steps,
@@ -243,37 +262,3 @@
         if coverage.answered_shards == 0 or coverage.share < query.request.least_coverage:
             return Failed("too few shards answered", coverage)
         return Answered(query.plan.index_version, coverage, query.records())
-
-    def _drop_calls(self, query: OpenQuery, now_ms: float) -> list[CoordinationStep]:
-        return [step for shard in query.shards for step in self._drop_shard_calls(shard, now_ms)]
-
-    def _drop_shard_calls(self, shard: ShardState, now_ms: float) -> list[CoordinationStep]:
-        steps: list[CoordinationStep] = []
-        for call_id in shard.call_ids:
-            call = self._calls.pop(call_id)
-            self._router.note_cancelled(call.route.upstream_id, now_ms - call.sent_ms, now_ms)
-            steps.append(DropCall(call_id, call.route))
-        shard.call_ids.clear()
-        return steps
-
-    def _budget_of(self, query: OpenQuery) -> RetryBudget:
-        name = (query.request.customer, query.request.class_name)
-        budget = self._budgets.get(name)
-        if budget is None:
-            budget = self._budgets[name] = RetryBudget(query.traffic_class.retry_share)
-        return budget
-
-
-def _missing_reason_of(answer: UpstreamAnswer) -> MissingReason:
-    match answer:
-        case Shed():
-            return MissingReason.SHED
-        case Cold():
-            return MissingReason.COLD
-        case NotReached() | Draining():
-            return MissingReason.NO_REPLICA
-        case ConnectionLost():
-            return MissingReason.CONNECTION_LOST
-        case TimedOut():
-            return MissingReason.DEADLINE
-    return MissingReason.UPSTREAM_ERROR
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/coordination/missing.py
@@ -0,0 +1,28 @@
+"""Translate the end of a call into the reason why a shard is missing."""
+
+from geraniumlead.requests.reasons import MissingReason
+from geraniumlead.upstreams.answers import (
+    Cold,
+    ConnectionLost,
+    Draining,
+    NotReached,
+    Shed,
+    TimedOut,
+    UpstreamAnswer,
+)
+
+
+def missing_reason_of(answer: UpstreamAnswer) -> MissingReason:
+    """Return what a caller is told of a shard whose last call ended like this."""
+    match answer:
+        case Shed():
+            return MissingReason.SHED
+        case Cold():
+            return MissingReason.COLD
+        case NotReached() | Draining():
+            return MissingReason.NO_REPLICA
+        case ConnectionLost():
+            return MissingReason.CONNECTION_LOST
+        case TimedOut():
+            return MissingReason.DEADLINE
+    return MissingReason.UPSTREAM_ERROR
--- a/packages/geraniumlead/src/geraniumlead/coordination/open_call.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/open_call.py
@@ -15,3 +15,4 @@
     shard: ShardState
     route: Route
     sent_ms: float
+    is_probe: bool = False
--- a/packages/geraniumlead/src/geraniumlead/coordination/open_query.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/open_query.py
@@ -13,7 +13,11 @@
 
 @dataclass(slots=True)
 class OpenQuery:
-    """Hold the plan of a query and what came of its shards."""
+    """Hold the plan of a query and what came of its shards.
+
+    ``watched`` holds the shards that may be unresolved, ``parked`` counts those that wait for
+    a replica, and ``check_ms`` is when the stragglers are looked at next.
+    """
 
     request: CallerRequest
     traffic_class: TrafficClass
@@ -23,6 +27,10 @@
     unresolved: int
     subqueries: int = 0
     extra_subqueries: int = 0
+    watched: list[ShardState] = field(default_factory=list)
+    parked: int = 0
+    check_ms: float = float("inf")
+    probe_ids: list[str] = field(default_factory=list)
     excluded_versions: set[int] = field(default_factory=set)
 
     @classmethod
@@ -43,16 +51,30 @@
         self.plan = plan
         self.shards = [ShardState(shard) for shard in plan.shards]
         self.unresolved = len(self.shards)
+        self.parked = 0
+        self.check_ms = float("inf")
 
     def coverage(self) -> Coverage:
         """Count the shards that answered; the unresolved are missing for the deadline."""
         missing = tuple(
-            MissingShard(shard.plan.shard, shard.missing_reason or MissingReason.DEADLINE)
+            MissingShard(shard.plan.shard, _reason_of(shard))
             for shard in self.shards
             if shard.records is None
         )
         return Coverage(len(self.shards), len(self.shards) - len(missing), missing)
 
+    def has_least_coverage(self) -> bool:
+        """Return whether what was answered suffices for the caller."""
+        answered = sum(1 for shard in self.shards if shard.records is not None)
+        return answered > 0 and answered >= self.request.least_coverage * len(self.shards)
+
     def records(self) -> tuple[bytes, ...]:
         """Return the records of the answered shards, in shard order."""
         return tuple(shard.records for shard in self.shards if shard.records is not None)
+
+
+def _reason_of(shard: ShardState) -> MissingReason:
+    if shard.missing_reason is not None:
+        return shard.missing_reason
+    is_parked = shard.parked_until_ms is not None
+    return shard.last_reason if is_parked else MissingReason.DEADLINE
--- a/packages/geraniumlead/src/geraniumlead/coordination/retry_budget.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/retry_budget.py
@@ -12,15 +12,19 @@
     balance is capped so that a quiet hour cannot save up a storm.
     """
 
-    __slots__ = ("_balance", "_share")
+    __slots__ = ("_balance", "share")
 
     def __init__(self, share: float, balance: float = MOST_BALANCE) -> None:
-        self._share = share
+        self.share = share
         self._balance = balance
 
     def earn(self, count: int) -> None:
         """Add the share that ``count`` first subqueries allow."""
-        self._balance = min(MOST_BALANCE, self._balance + self._share * count)
+        self._balance = min(MOST_BALANCE, self._balance + self.share * count)
+
+    def give_back(self) -> None:
+        """Return what was taken and not used."""
+        self._balance = min(MOST_BALANCE, self._balance + 1.0)
 
     def spend(self) -> bool:
         """Take one extra subquery from the balance; False when it is used up."""
--- a/packages/geraniumlead/src/geraniumlead/requests/reasons.py
+++ b/packages/geraniumlead/src/geraniumlead/requests/reasons.py
@@ -33,3 +33,4 @@
     VERSION_RETIRED = "version_retired"
     UPSTREAM_ERROR = "upstream_error"
     COLD = "cold"
+    OVERDUE = "overdue"
--- a/packages/geraniumlead/src/geraniumlead/routing/router.py
+++ b/packages/geraniumlead/src/geraniumlead/routing/router.py
@@ -97,8 +97,12 @@
         tried: Collection[str],
         now_ms: float,
         long_running: bool = False,
+        only_good: bool = False,
     ) -> Route | None:
-        """Return the best way to one of ``replicas`` that was not tried, or None."""
+        """Return the best way to one of ``replicas`` that was not tried, or None.
+
+        With ``only_good`` a replica that looks bad is not taken for want of a better one.
+        """
         group = self._group_of(replicas)
         for tier in group.tiers:
             good = []
@@ -116,6 +120,8 @@
                 if route is not None:
                     return route
                 good.remove(replica)
+        if only_good:
+            return None
         return self._choose_last_resort(group, tried, now_ms, long_running)
 
     def take_probe(
@@ -180,9 +186,9 @@
             replica.probe_due_ms = now_ms + PROBE_INTERVAL_MS
             self._suspected.add(upstream_id)
 
-    def suspected(self) -> frozenset[str]:
+    def suspected(self) -> set[str]:
         """Return the upstreams that answer late."""
-        return frozenset(self._suspected)
+        return self._suspected
 
     def _note_records(self, replica: Replica, latency_ms: float, now_ms: float) -> None:
         if replica.is_suspected:
