--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -18,10 +18,13 @@
 )
 from geraniumlead.instance.call_handler import CallHandler
 from geraniumlead.instance.configuration_handler import ConfigurationHandler
+from geraniumlead.instance.freshness_handler import FreshnessHandler
 from geraniumlead.instance.heartbeat_handler import HeartbeatHandler
 from geraniumlead.instance.parts import InstanceParts
 from geraniumlead.instance.request_handler import RequestHandler
 from geraniumlead.instance.status import InstanceStatus
+from geraniumlead.instance.stop_handler import StopHandler
+from geraniumlead.instance.upstream_report import report_services, report_upstreams
 from geraniumlead.peers import (
     CancelBatch,
     DocumentsUpdate,
@@ -29,6 +32,8 @@
     Goodbye,
     Heartbeat,
     PeerMessage,
+    Probe,
+    ProbeReply,
     SubqueryBatch,
     SubqueryResultBatch,
     TicketedAnswer,
@@ -46,14 +51,26 @@
     TimerFired. Nothing here does I/O, reads a clock or uses global randomness.
     """
 
-    __slots__ = ("_calls", "_configuration", "_heartbeats", "_requests", "parts")
+    __slots__ = (
+        "_calls",
+        "_configuration",
+        "_freshness",
+        "_heartbeats",
+        "_requests",
+        "_stop",
+        "parts",
+    )
 
     def __init__(self, settings: InstanceSettings, random: Random, now_ms: float) -> None:
-        self.parts = InstanceParts(settings, random)
+        self.parts = InstanceParts(settings, random, now_ms)
         self._calls = CallHandler(self.parts)
         self._requests = RequestHandler(self.parts, self._calls)
         self._configuration = ConfigurationHandler(self.parts, self._calls)
         self._heartbeats = HeartbeatHandler(self.parts, now_ms)
+        self._stop = StopHandler(self.parts, self._calls, self._requests)
+        self._freshness = FreshnessHandler(
+            self.parts, self._calls, self._requests, self._configuration
+        )
 
     def start(self, now_ms: float) -> list[Action]:
         """Return the first actions of the process."""
@@ -62,6 +79,7 @@
 
     def handle(self, event: Event, now_ms: float) -> list[Action]:
         """Take in one event and return what follows from it, in order."""
+        self._freshness.note_time(now_ms)
         self.parts.cold_start.tick(now_ms)
         match event:
             case QueryArrived(request=request):
@@ -77,11 +95,12 @@
             case PeerMessageReceived(sender_id=sender_id, message=message):
                 self._take_message(sender_id, message, now_ms)
             case DocumentsReceived():
+                self._freshness.take_read(event)
                 self._configuration.take_documents(event, now_ms)
             case PlatformSilent():
                 self._configuration.take_silence(event)
             case StopRequested():
-                self._heartbeats.begin_stop(now_ms)
+                self._stop.begin(now_ms)
             case TimerFired(wall_now_s=wall_now_s):
                 if wall_now_s is not None:
                     self.parts.admission.observe_wall_clock(wall_now_s, now_ms)
@@ -97,14 +116,16 @@
             self.parts.batcher.next_wake_ms(),
             self.parts.dispatcher.next_wake_ms(),
             self.parts.tickets.next_wake_ms(),
+            self.parts.freshness.next_wake_ms(),
+            self._requests.held.next_wake_ms(),
         ]
         return min(time for time in times if time is not None)
 
     def status(self, now_ms: float) -> InstanceStatus:
         """Summarise this instance for operators."""
         parts = self.parts
-        heard_ms = self._configuration.platform_heard_ms
         view = parts.store.view
+        upstreams = report_upstreams(parts, now_ms)
         return InstanceStatus(
             instance_id=parts.settings.instance_id,
             incarnation=parts.incarnation,
@@ -112,7 +133,7 @@
             ready=parts.is_ready,
             stopping=parts.lifecycle.is_stopping,
             revision=parts.store.revision,
-            platform_age_ms=None if heard_ms is None else now_ms - heard_ms,
+            platform_age_ms=self._configuration.contact.age_ms(now_ms),
             refused_documents={item.key: item.reason for item in parts.store.refused},
             open_requests=len(parts.coordinator),
             peers={
@@ -120,9 +141,18 @@
             },
             data_centres={name: found.state for name, found in view.data_centres.items()},
             is_watcher=self._configuration.watching,
+            services=report_services(upstreams),
+            upstreams=upstreams,
+            view_unconfirmed_ms=(
+                None
+                if parts.freshness.is_confirmed
+                else now_ms - parts.freshness.unconfirmed_since_ms
+            ),
+            held_requests=len(self._requests.held),
         )
 
     def _take_message(self, sender_id: str, message: PeerMessage, now_ms: float) -> None:
+        self.parts.membership.note_heard(sender_id, now_ms)
         match message:
             case Heartbeat() | Goodbye():
                 self._configuration.take_sign_of_life(sender_id, message, now_ms)
@@ -131,7 +161,16 @@
             case DocumentsWanted():
                 self._configuration.give_documents(sender_id, message)
             case DocumentsUpdate():
-                self._configuration.take_update(message, now_ms)
+                self._configuration.take_update(sender_id, message, now_ms)
+            case Probe():
+                self._freshness.answer_probe(sender_id, message)
+            case ProbeReply():
+                self._freshness.take_reply(sender_id, message)
+            case _:
+                self._take_work(sender_id, message, now_ms)
+
+    def _take_work(self, sender_id: str, message: PeerMessage, now_ms: float) -> None:
+        match message:
             case SubqueryBatch():
                 self._calls.take_subqueries(sender_id, message, now_ms)
             case SubqueryResultBatch():
@@ -146,13 +185,18 @@
                 self._requests.take_ticketed_answer(message)
 
     def _run_timers(self, now_ms: float) -> None:
+        self._freshness.run(now_ms)
+        self._requests.expire_held(now_ms)
         self._calls.run_coordination(self.parts.coordinator.expire(now_ms), now_ms)
         self._calls.wake_dispatch(now_ms)
         self._requests.take_ready(now_ms)
         self._requests.expire_forwarded(now_ms)
-        self._heartbeats.beat_if_due(now_ms)
+        if self._heartbeats.beat_if_due(now_ms, self._configuration.contact.age_ms(now_ms)):
+            self._configuration.read_if_nobody_does(now_ms)
+            self._stop.exit_if_done(now_ms)
         for peer_id, message in self.parts.batcher.take_due(now_ms):
-            self.parts.send(peer_id, message)
+            if self.parts.send(peer_id, message) and isinstance(message, SubqueryBatch):
+                self.parts.membership.note_asked(peer_id, now_ms)
 
     def _take_actions(self) -> list[Action]:
         actions, self.parts.actions = self.parts.actions, []
--- a/packages/geraniumlead/src/geraniumlead/instance/parts.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/parts.py
@@ -9,6 +9,7 @@
 from geraniumlead.coordination import QueryCoordinator
 from geraniumlead.dispatch import Dispatcher
 from geraniumlead.documents import TrafficClass
+from geraniumlead.freshness import ViewFreshness
 from geraniumlead.instance.batcher import PeerBatcher
 from geraniumlead.instance.lifecycle import Lifecycle
 from geraniumlead.instance.ticket_desk import TicketDesk
@@ -34,6 +35,7 @@
         "cold_start",
         "coordinator",
         "dispatcher",
+        "freshness",
         "incarnation",
         "lifecycle",
         "membership",
@@ -44,7 +46,7 @@
         "tickets",
     )
 
-    def __init__(self, settings: InstanceSettings, random: Random) -> None:
+    def __init__(self, settings: InstanceSettings, random: Random, now_ms: float) -> None:
         instance_id, data_centre = settings.instance_id, settings.data_centre
         self.settings = settings
         self.random = random
@@ -53,6 +55,7 @@
         self.store = DocumentStore()
         self.membership = Membership(instance_id, data_centre, settings.timing.peer_timeout_ms)
         self.lifecycle = Lifecycle(settings.timing)
+        self.freshness = ViewFreshness(settings.timing.pause_gap_ms, random, now_ms)
         self.admission = AdmissionController(settings.limits, instance_id, random)
         confirmation = ViewConfirmation(self.membership, self.store)
         self.cold_start = ColdStartGuard(instance_id, settings.timing, confirmation)
@@ -68,7 +71,13 @@
     def is_ready(self) -> bool:
         """Return what the balancer is told."""
         in_service = self.store.view.is_data_centre_in(self.settings.data_centre)
-        return self.lifecycle.is_serving and in_service
+        can_serve = self.lifecycle.is_serving and self.cold_start.can_serve
+        return can_serve and in_service and not self.membership.is_leaving
+
+    @property
+    def is_configured(self) -> bool:
+        """Return whether any documents are in force."""
+        return self.store.revision > 0
 
     def class_of(self, customer: str, class_name: str) -> TrafficClass | None:
         """Return a class of a contract in force."""
