--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.stamp-$(shell cat requirements/*.txt packages/*/pyproject.toml | cksum | cut -d' ' -f1)
 PACKAGES := geraniumlead geraniumlead-server geraniumlead-client geraniumlead-standins
 
-.PHONY: setup test lint format demo bench histories capacity soak
+.PHONY: setup test lint format demo bench histories capacity soak pages
 
 setup: $(STAMP)
 
@@ -44,3 +44,8 @@
 
 capacity: setup
 	$(BIN)/python -m geraniumlead_standins.capacity
+
+# Writes the pages that are rendered from the code.
+pages: setup
+	$(BIN)/python -m geraniumlead_server.callers.openapi
+	$(BIN)/geraniumlead schema
