Measure start and memory; count refusals without the library's cost

Tried and reverted: no exemplars. The status shows queued requests. Tools that start processes end them on SIGTERM, too.

--- a/packages/geraniumlead-server/src/geraniumlead_server/telemetry/metrics.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/telemetry/metrics.py
@@ -10,6 +10,7 @@
 from geraniumlead.instance import Instance
 from geraniumlead.instance.status import InstanceStatus
 from geraniumlead.requests import Answered, Failed, NotRun, Unknown
+from geraniumlead_server.telemetry.counted_series import CountedSeries
 from geraniumlead_server.telemetry.label_book import LabelBook
 
 LATENCY_BOUNDS_MS = (1, 2, 4, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256, 512, 1024, 4096, 16384)
@@ -54,13 +55,18 @@
             description="subqueries of one request, extra ones included",
             explicit_bucket_boundaries_advisory=FAN_OUT_BOUNDS,
         )
-        self._requests = meter.create_counter("geraniumlead_requests")
-        self._refused = meter.create_counter("geraniumlead_refused")
-        self._extra = meter.create_counter(
-            "geraniumlead_extra_subqueries", description="hedges, retries and canaries"
-        )
+        self._requests = CountedSeries("outcome")
+        self._refused = CountedSeries("reason")
+        self._extra = CountedSeries()
+        for name, series in (
+            ("geraniumlead_requests", self._requests),
+            ("geraniumlead_refused", self._refused),
+            ("geraniumlead_extra_subqueries", self._extra),
+        ):
+            meter.create_observable_counter(name, callbacks=[series.observe])
         for name, read in (
             ("geraniumlead_open_requests", lambda status: status.open_requests),
+            ("geraniumlead_queued_requests", lambda status: status.queued_requests),
             ("geraniumlead_config_revision", lambda status: status.revision),
             ("geraniumlead_config_age_ms", lambda status: status.platform_age_ms),
             ("geraniumlead_refused_documents", lambda status: len(status.refused_documents)),
@@ -76,15 +82,15 @@
         view = self._instance.parts.store.view
         labels = self._labels.labels_of(view, answer.customer, answer.class_name)
         outcome = outcome_name(answer)
-        self._requests.add(1, labels | {"outcome": outcome})
+        self._requests.add(labels, outcome)
         if isinstance(answer.outcome, NotRun):
-            self._refused.add(1, labels | {"reason": answer.outcome.reason.value})
+            self._refused.add(labels, answer.outcome.reason.value)
             return
         self._latency.record(now_ms - answer.arrived_ms, labels)
         self._queue_wait.record(answer.queued_ms, labels)
         self._fan_out.record(answer.subqueries, labels)
         if answer.extra_subqueries:
-            self._extra.add(answer.extra_subqueries, labels)
+            self._extra.add(labels, count=answer.extra_subqueries)
         if isinstance(answer.outcome, Answered):
             self._coverage.record(answer.outcome.coverage.share, labels)
 
--- a/packages/geraniumlead-server/tests/server_tests/operators/test_app.py
+++ b/packages/geraniumlead-server/tests/server_tests/operators/test_app.py
@@ -65,6 +65,7 @@
     async def test_metrics_page_has_contract_and_class(self):
         await self.ask("mine.1")
         text = (await self.get("/metrics")).text
-        self.assertIn('class="lookup",contract="acme"', text)
+        self.assertIn('geraniumlead_requests_total{class="lookup",contract="acme"', text)
+        self.assertIn('geraniumlead_coverage_share_count{class="lookup",contract="acme"', text)
         revision = re.search(r"^geraniumlead_config_revision(?:{.*})? (.*)$", text, re.MULTILINE)
         self.assertEqual(revision[1], "7.0")
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/demo/__main__.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/demo/__main__.py
@@ -1,13 +1,13 @@
 """Run a whole deployment on loopback: ``python -m geraniumlead_standins.demo``."""
 
 import argparse
-import asyncio
 import sys
 from datetime import datetime
 from pathlib import Path
 
 from geraniumlead_standins.demo.demo_plan import DemoPlan
 from geraniumlead_standins.demo.free_ports import find_base_port
+from geraniumlead_standins.demo.run_to_end import run_to_end
 from geraniumlead_standins.demo.runner import DemoRunner
 from geraniumlead_standins.deployments import DEPLOYMENTS, AddressPlan
 
@@ -48,7 +48,7 @@
 def main() -> int:
     """Run; exit 1 when something that must always hold did not."""
     plan = build_plan(build_parser().parse_args())
-    verdict = asyncio.run(DemoRunner(plan).run())
+    verdict = run_to_end(DemoRunner(plan).run())
     for violation in verdict.violations:
         print(f"VIOLATED: {violation}")
     return 1 if verdict.violations else 0
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/startup/__main__.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/startup/__main__.py
@@ -14,6 +14,7 @@
 from geraniumlead.settings import LimitSettings
 from geraniumlead_standins.demo.free_ports import find_base_port
 from geraniumlead_standins.demo.process_group import ProcessGroup
+from geraniumlead_standins.demo.run_to_end import run_to_end
 from geraniumlead_standins.deployments import (
     AddressPlan,
     build_documents,
@@ -30,7 +31,9 @@
 FIRST_PORT = 27_600
 SHARDS = 8
 SLOTS = 600
-SLOWDOWN = 10_000.0
+SLOWDOWN = 1_500.0
+QUEUE_FACTOR = 4
+WATCH_S = 8.0
 WARM_UP_REQUESTS = 3_000
 WARM_UP_AT_ONCE = 50
 SETTLE_S = 8.0
@@ -91,7 +94,9 @@
 
     async def _start_instance(self) -> float:
         settings = build_instance_settings(self._deployment, self._addresses)["noord-1"]
-        limits = LimitSettings(open_requests=2 * self._requests, queued_requests=self._requests)
+        limits = LimitSettings(
+            open_requests=2 * self._requests, queued_requests=QUEUE_FACTOR * self._requests
+        )
         path = self._write("instance", structs.replace(settings, limits=limits))
         started_s = time.monotonic()
         self._process = await self._processes.start(
@@ -99,6 +104,8 @@
         )
         async with ClientSession() as session:
             while not await self._is_ready(session):
+                if "instance" in self._processes.find_ended():
+                    raise RuntimeError("the instance ended; its log says why")
                 await asyncio.sleep(0.01)
         return time.monotonic() - started_s
 
@@ -124,8 +131,7 @@
                 asyncio.create_task(self._send(session, number, free))
                 for number in range(self._requests)
             ]
-            open_requests = await self._wait_until_open(session)
-            open_mb = self._resident_mb()
+            open_requests, open_mb = await self._watch_peak(session)
             for task in tasks:
                 task.cancel()
         extra_bytes = (open_mb - warmed_mb) * BYTES_PER_MB
@@ -158,16 +164,17 @@
         async with session.put(f"http://{control}/faults", data=encode(faults)) as response:
             response.raise_for_status()
 
-    async def _wait_until_open(self, session: ClientSession) -> int:
-        # Until the number stops growing: some may be refused, and are not counted.
-        last, same = -1, 0
-        while same < 5:
+    async def _watch_peak(self, session: ClientSession) -> tuple[int, float]:
+        """Return the most requests that were open or queued at once, and the memory then."""
+        peak = (0, 0.0)
+        ends_s = time.monotonic() + WATCH_S
+        while time.monotonic() < ends_s:
             async with session.get(f"http://{self._operators}/v1/status") as response:
-                found = decode(await response.read())["open_requests"]
-            same = same + 1 if found == last else 0
-            last = found
+                found = decode(await response.read())
+            count = found["open_requests"] + found["queued_requests"]
+            peak = max(peak, (count, self._resident_mb()))
             await asyncio.sleep(0.2)
-        return last
+        return peak
 
     def _resident_mb(self) -> float:
         return psutil.Process(self._process.pid).memory_info().rss / BYTES_PER_MB
@@ -194,7 +201,7 @@
     arguments = parser.parse_args()
     folder = FOLDER / datetime.now().strftime("%Y%m%d-%H%M%S-%f")
     folder.mkdir(parents=True)
-    figures = asyncio.run(StartupRun(folder, arguments.requests, arguments.starts).run())
+    figures = run_to_end(StartupRun(folder, arguments.requests, arguments.starts).run())
     print(encode(figures).decode())
 
 
--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -141,6 +141,7 @@
             },
             data_centres={name: found.state for name, found in view.data_centres.items()},
             is_watcher=self._configuration.watching,
+            queued_requests=parts.admission.queued_requests,
             services=report_services(upstreams),
             upstreams=upstreams,
             view_unconfirmed_ms=(
