--- a/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
@@ -120,8 +120,11 @@
         Failure: an upstream restarts while no call is under way. Without this sign two owners
         may send at the same moment, each as much as it did before, and it falls over.
         """
+        if upstream_id not in self._view.upstreams:
+            return []
+        is_news = self._guard.note_disconnected(upstream_id, now_ms) is not None
         gate = self._gates.get(upstream_id)
-        if gate is None or self._guard.note_disconnected(upstream_id, now_ms) is None:
+        if gate is None or not is_news:
             return []
         steps = self._keep_within_allowance(gate, now_ms)
         return [*self._tell_owners(gate, WarmthPhase.COLD), *steps]
