Send unproven queries to one shard first and quarantine what crashes upstreams

Now an unproven fingerprint goes to two replicas of one shard, the same on all instances; two crashes quarantine it, peers are told of strikes and quarantines, and later sends are refused as not run with the time to come back.

--- /dev/null
+++ b/packages/geraniumlead-standins/tests/standins_tests/bench/test_crash_query.py
@@ -0,0 +1,77 @@
+"""Test what a query that crashes its upstreams can do."""
+
+from dataclasses import replace
+from unittest import TestCase
+
+from geraniumlead.events import QueryArrived
+from geraniumlead.requests import CallerRequest, NotRun, RefusalReason
+from geraniumlead_standins.bench.caller_load import CallerLoad
+from geraniumlead_standins.bench.caller_stream import CallerStream
+from geraniumlead_standins.bench.load_contracts import (
+    CAPACITY_PER_S,
+    SIZE,
+    build_load_contract,
+)
+
+WIDE = replace(SIZE, instances=3, replicas=4)
+
+
+class CrashQueryTests(TestCase):
+    def test_hundred_sends_crash_two_upstreams_at_most(self):
+        """A caller sends a query that crashes each upstream, again and again, everywhere.
+
+        Fanned out it would crash a replica of every shard, and its retries the others. It
+        may crash the two that it is tried on; then callers are told that it was not run and
+        when to come back, and all other queries are answered meanwhile.
+        """
+        for seed in (1, 2, 3):
+            load = CallerLoad(WIDE, seed, [build_load_contract()])
+            load.add(
+                CallerStream(
+                    "lookup",
+                    0.3 * CAPACITY_PER_S,
+                    end_ms=13_000.0,
+                    query_of=lambda random: b'{"member":%d}' % random.randrange(20),
+                )
+            )
+            load.add(
+                CallerStream(
+                    "lookup",
+                    50.0,
+                    start_ms=10_500.0,
+                    end_ms=12_500.0,
+                    query_of=lambda random: b'{"crash":1}',
+                    label="crashing",
+                )
+            )
+            load.finish()
+            crashed = [found for found in load.run.upstreams.values() if found.crashes]
+            self.assertLessEqual(len(crashed), 2)
+            others, crashing = load.results["lookup"], load.results["crashing"]
+            self.assertEqual(others.sent, len(others.latencies_ms))
+            self.assertGreater(crashing.refused["quarantined"], 0.9 * crashing.sent)
+
+    def test_sends_at_the_same_moment_crash_two_upstreams_at_most(self):
+        """The query comes to all instances at once, before any can tell the others."""
+        load = CallerLoad(WIDE, 5, [build_load_contract()])
+        load.add(CallerStream("lookup", 0.3 * CAPACITY_PER_S, end_ms=9_000.0))
+        load.run.queue.run_until(9_500.0)
+        answers = []
+        load.run.on_answer = lambda name, action, now_ms: answers.append(action)
+        for number in range(30):
+            now_ms = load.run.now_ms
+            request = CallerRequest(
+                f"c{number}", "acme", "lookup", b'{"crash":1}', now_ms, now_ms + 200.0, 1.0
+            )
+            load.run.deliver(f"noord-{number % 3}", QueryArrived(request))
+        load.run.queue.run_until(10_000.0)
+        crashed = [found for found in load.run.upstreams.values() if found.crashes]
+        self.assertLessEqual(len(crashed), 2)
+        self.assertEqual(30, len(answers))
+        now_ms = load.run.now_ms
+        late = CallerRequest("late", "acme", "lookup", b'{"crash": 1}', now_ms, now_ms + 200, 1.0)
+        load.run.deliver("noord-2", QueryArrived(late))
+        outcome = answers[-1].outcome
+        self.assertIsInstance(outcome, NotRun)
+        self.assertEqual(RefusalReason.QUARANTINED, outcome.reason)
+        self.assertGreater(outcome.retry_after_ms, 1_000.0)
--- a/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
@@ -1,8 +1,10 @@
 """Fan a query out over its shards and end it with one outcome."""
 
+from collections.abc import Iterator
 from heapq import heappop, heappush
 
 from geraniumlead.configuration.cluster_view import ClusterView
+from geraniumlead.coordination.crash_guard import CrashGuard
 from geraniumlead.coordination.open_call import OpenCall
 from geraniumlead.coordination.open_query import OpenQuery
 from geraniumlead.coordination.retry_budget import RetryBudget
@@ -51,9 +53,11 @@
         "_queries",
         "_router",
         "_view",
+        "guard",
     )
 
-    def __init__(self, call_prefix: str, router: Router) -> None:
+    def __init__(self, call_prefix: str, router: Router, guard: CrashGuard) -> None:
+        self.guard = guard
         self._call_prefix = call_prefix
         self._router = router
         self._view = ClusterView()
@@ -70,12 +74,18 @@
     def update(self, view: ClusterView) -> None:
         """Take over a new view; running queries keep their plan."""
         self._view = view
+        self.guard.update(view)
 
     def start(
         self, request: CallerRequest, traffic_class: TrafficClass, plan: QueryPlan, now_ms: float
     ) -> list[CoordinationStep]:
         """Send the first subqueries of a query."""
-        query = OpenQuery.from_plan(request, traffic_class, plan, now_ms)
+        fingerprint = self.guard.identify(request)
+        canary = self.guard.first_step(plan, fingerprint)
+        query = OpenQuery.from_plan(
+            request, traffic_class, plan if canary is None else canary.plan, now_ms
+        )
+        query.fingerprint, query.canary = fingerprint, canary
         self._queries[request.request_id] = query
         heappush(self._deadlines, (request.deadline_ms, request.request_id))
         self._budget_of(query).earn(len(plan.shards))
@@ -118,6 +128,11 @@
         query, shard = call.query, call.shard
         if shard.is_resolved:
             return []
+        may_try_again = True
+        if isinstance(answer, ConnectionLost):
+            upstream_id = call.route.upstream_id
+            present = self._queries_at(upstream_id)
+            may_try_again = self.guard.note_lost(query, upstream_id, present, now_ms)
         match answer:
             case Records() if self._is_of_plan(query, shard, answer):
                 return self._resolve(query, shard, answer.records, None, now_ms)
@@ -127,8 +142,15 @@
                 # The upstream may have run the request, so a second try might run it twice.
                 outcome = Unknown("the connection to the upstream ended without an answer")
                 return self._end(query, outcome, now_ms)
+        if not may_try_again and not shard.call_ids:
+            return self._resolve(query, shard, None, MissingReason.CONNECTION_LOST, now_ms)
         return self._try_again(query, shard, answer, now_ms)
 
+    def _queries_at(self, upstream_id: str) -> Iterator[OpenQuery]:
+        return (
+            call.query for call in self._calls.values() if call.route.upstream_id == upstream_id
+        )
+
     def _is_of_plan(self, query: OpenQuery, shard: ShardState, answer: Records) -> bool:
         return (answer.index_version, answer.shard) == (
             query.plan.index_version,
@@ -145,7 +167,28 @@
     ) -> list[CoordinationStep]:
         shard.records, shard.missing_reason = records, reason
         query.unresolved -= 1
-        return self._drop_shard_calls(shard, now_ms)
+        return self._drop_shard_calls(shard, now_ms) + self._follow_canary(query, shard, now_ms)
+
+    def _follow_canary(
+        self, query: OpenQuery, shard: ShardState, now_ms: float
+    ) -> list[CoordinationStep]:
+        """Ask the other shards once the first one has its answer.
+
+        A first one without an answer has no followers: it may have crashed its upstreams, or
+        another instance's did.
+        """
+        canary = query.canary
+        if canary is None or query.shards[canary.place] is not shard:
+            return []
+        query.canary = None
+        others = [found for found in query.shards if found is not shard]
+        if shard.records is not None:
+            self.guard.note_answered(query, now_ms)
+            return self._ask_shards(query, others, now_ms)
+        for other in others:
+            other.missing_reason = shard.missing_reason
+        query.unresolved -= len(others)
+        return []
 
     def _retire_replica(self, call: OpenCall, now_ms: float) -> list[CoordinationStep]:
         query, shard = call.query, call.shard
@@ -163,6 +206,9 @@
         if plan is None:
             return []
         steps = self._drop_calls(query, now_ms)
+        if query.canary is not None:
+            query.canary = self.guard.first_step(plan, query.fingerprint)
+            plan = plan if query.canary is None else query.canary.plan
         query.start_again(plan)
         return steps + self._ask_all(query, now_ms)
 
@@ -178,13 +224,23 @@
         return self._resolve(query, shard, None, _missing_reason_of(answer), now_ms)
 
     def _ask_all(self, query: OpenQuery, now_ms: float) -> list[CoordinationStep]:
+        if query.canary is not None:
+            first = query.shards[query.canary.place]
+            steps = self._ask_shards(query, [first], now_ms)
+        else:
+            steps = self._ask_shards(query, query.shards, now_ms)
+        return steps + self._end_if_resolved(query, now_ms)
+
+    def _ask_shards(
+        self, query: OpenQuery, shards: list[ShardState], now_ms: float
+    ) -> list[CoordinationStep]:
         steps: list[CoordinationStep] = []
-        for shard in query.shards:
+        for shard in shards:
             asked = self._ask_shard(query, shard, now_ms, is_extra=False)
             if not asked:
                 asked = self._resolve(query, shard, None, MissingReason.NO_REPLICA, now_ms)
             steps += asked
-        return steps + self._end_if_resolved(query, now_ms)
+        return steps
 
     def _ask_shard(
         self, query: OpenQuery, shard: ShardState, now_ms: float, is_extra: bool
@@ -216,6 +272,7 @@
             customer=request.customer,
             class_name=request.class_name,
             priority=query.traffic_class.priority,
+            fingerprint=query.fingerprint,
             attempt=len(shard.tried),
         )
         return [AskUpstream(subquery, route)]
@@ -227,6 +284,8 @@
 
     def _end(self, query: OpenQuery, outcome: Outcome, now_ms: float) -> list[CoordinationStep]:
         del self._queries[query.request.request_id]
+        if isinstance(outcome, Answered) and outcome.coverage.is_whole:
+            self.guard.note_answered(query, now_ms)
         steps = self._drop_calls(query, now_ms)
         queued_ms = query.started_ms - query.request.arrived_ms
         return [
--- a/packages/geraniumlead/src/geraniumlead/coordination/open_query.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/open_query.py
@@ -5,6 +5,7 @@
 from geraniumlead.coordination.shard_state import ShardState
 from geraniumlead.documents.traffic_class import TrafficClass
 from geraniumlead.planning.query_plan import QueryPlan
+from geraniumlead.quarantine.canary_plan import CanaryPlan
 from geraniumlead.requests.caller_request import CallerRequest
 from geraniumlead.requests.coverage import Coverage
 from geraniumlead.requests.missing_shard import MissingShard
@@ -24,6 +25,8 @@
     subqueries: int = 0
     extra_subqueries: int = 0
     excluded_versions: set[int] = field(default_factory=set)
+    fingerprint: int = 0
+    canary: CanaryPlan | None = None
 
     @classmethod
     def from_plan(
--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -34,6 +34,7 @@
     PeerMessage,
     Probe,
     ProbeReply,
+    QuarantineNotice,
     SubqueryBatch,
     SubqueryResultBatch,
     TicketedAnswer,
@@ -179,6 +180,8 @@
                 self._calls.cancel(call_ids, now_ms)
             case UpstreamNotice():
                 self._calls.take_notice(message, now_ms)
+            case QuarantineNotice():
+                self._requests.quarantine.hear(message, now_ms)
             case TicketedRequest():
                 self._requests.take_forwarded(sender_id, message, now_ms)
             case TicketedAnswer():
@@ -188,6 +191,7 @@
         self._freshness.run(now_ms)
         self._requests.expire_held(now_ms)
         self._calls.run_coordination(self.parts.coordinator.expire(now_ms), now_ms)
+        self._requests.quarantine.tell_peers(now_ms)
         self._calls.wake_dispatch(now_ms)
         self._requests.take_ready(now_ms)
         self._requests.expire_forwarded(now_ms)
--- a/packages/geraniumlead/src/geraniumlead/instance/parts.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/parts.py
@@ -6,7 +6,7 @@
 from geraniumlead.admission import AdmissionController
 from geraniumlead.cold_start import ColdStartGuard, ViewConfirmation
 from geraniumlead.configuration import DocumentStore
-from geraniumlead.coordination import QueryCoordinator
+from geraniumlead.coordination import CrashGuard, QueryCoordinator
 from geraniumlead.dispatch import Dispatcher
 from geraniumlead.documents import TrafficClass
 from geraniumlead.freshness import ViewFreshness
@@ -15,6 +15,7 @@
 from geraniumlead.instance.ticket_desk import TicketDesk
 from geraniumlead.membership import Membership
 from geraniumlead.peers import PeerMessage
+from geraniumlead.quarantine import CanaryPlanner, QuarantineBook
 from geraniumlead.routing import Router
 from geraniumlead.settings import InstanceSettings
 
@@ -39,6 +40,7 @@
         "incarnation",
         "lifecycle",
         "membership",
+        "quarantine",
         "random",
         "router",
         "settings",
@@ -63,7 +65,12 @@
         self.router = Router(
             instance_id, data_centre, self.membership, self.dispatcher, self.cold_start, random
         )
-        self.coordinator = QueryCoordinator(f"{instance_id}.{self.incarnation}.", self.router)
+        self.quarantine = QuarantineBook()
+        self.coordinator = QueryCoordinator(
+            f"{instance_id}.{self.incarnation}.",
+            self.router,
+            CrashGuard(self.quarantine, CanaryPlanner(data_centre)),
+        )
         self.batcher = PeerBatcher(settings.timing.batch_tick_ms)
         self.tickets = TicketDesk.from_settings(settings, self.incarnation, random)
 
--- a/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
@@ -6,6 +6,7 @@
 from geraniumlead.freshness import HeldRequests
 from geraniumlead.instance.call_handler import CallHandler
 from geraniumlead.instance.parts import InstanceParts
+from geraniumlead.instance.quarantine_handler import QuarantineHandler
 from geraniumlead.peers import TicketedAnswer, TicketedRequest
 from geraniumlead.planning import plan_query
 from geraniumlead.requests import CallerRequest, NotRun, RefusalReason
@@ -17,12 +18,13 @@
 class RequestHandler:
     """Admit requests, start their queries, and give out tickets."""
 
-    __slots__ = ("_calls", "_parts", "held")
+    __slots__ = ("_calls", "_parts", "held", "quarantine")
 
     def __init__(self, parts: InstanceParts, calls: CallHandler) -> None:
         self._parts = parts
         self._calls = calls
         self.held = HeldRequests(parts.settings.limits.queued_requests)
+        self.quarantine = QuarantineHandler(parts)
 
     def take_request(self, request: CallerRequest, now_ms: float) -> None:
         """Start, queue, hold, forward or refuse a request."""
@@ -45,6 +47,10 @@
                 return
             if tickets.join_running(request):
                 return
+        refusal = self.quarantine.refuse(request, now_ms)
+        if refusal is not None:
+            self._calls.answer(request, refusal)
+            return
         match self._parts.admission.offer(request, now_ms):
             case Admitted():
                 self._start_query(request, now_ms)
@@ -123,6 +129,11 @@
 
     def _start_query(self, request: CallerRequest, now_ms: float) -> None:
         parts = self._parts
+        refusal = self.quarantine.refuse(request, now_ms)
+        if refusal is not None:
+            parts.admission.release(request.request_id, now_ms)
+            self._calls.answer(request, refusal)
+            return
         traffic_class = parts.class_of(request.customer, request.class_name)
         if traffic_class is None:
             self._refuse_admitted(request, RefusalReason.CONTRACT_UNKNOWN, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/quarantine/quarantine_book.py
+++ b/packages/geraniumlead/src/geraniumlead/quarantine/quarantine_book.py
@@ -18,6 +18,13 @@
 """A request that ran well before is more often the victim of another one's crash."""
 
 MEMORY_MS = 60_000.0
+
+AT_PEER = "at a peer"
+"""Stands for the upstream of a crash that a peer saw."""
+
+MOST_TOLD = 4
+"""Strikes told to peers at once: of the unproven requests on one crashed upstream there are
+few, and a notice goes to every peer."""
 FIRST_QUARANTINE_MS = 30_000.0
 MOST_QUARANTINE_MS = 600_000.0
 """The first time is bearable for an innocent, doubling stops a persistent caller, and the
@@ -37,7 +44,15 @@
     one at a time is tried again, so that a second crash strikes no bystander.
     """
 
-    __slots__ = ("_crashes", "_proven", "_suspicions", "_tried", "_tried_until_ms", "told")
+    __slots__ = (
+        "_any_until_ms",
+        "_crashes",
+        "_proven",
+        "_suspicions",
+        "_tried",
+        "_tried_until_ms",
+        "told",
+    )
 
     def __init__(self) -> None:
         self._proven = RecentSet(MOST_PROVEN)
@@ -45,6 +60,7 @@
         self._crashes: dict[str, tuple[float, bool]] = {}
         self._tried: int | None = None
         self._tried_until_ms = 0.0
+        self._any_until_ms = float("-inf")
         self.told: list[int] = []
 
     def is_proven(self, fingerprint: int) -> bool:
@@ -99,6 +115,8 @@
         if suspicion.until_ms > now_ms:
             return True
         if len(suspicion.crashes) < (STRIKES_WHEN_PROVEN if is_proven else STRIKES):
+            if not is_proven and len(self.told) < MOST_TOLD:
+                self.told.append(fingerprint)
             return False
         self._quarantine(fingerprint, suspicion, now_ms)
         self.told.append(fingerprint)
@@ -119,10 +137,15 @@
         return True
 
     def hear(self, fingerprint: int, remaining_ms: float, now_ms: float) -> None:
-        """Take over a quarantine that a peer decided."""
+        """Take over a strike or a quarantine of a peer."""
         suspicion = self._suspicion_of(fingerprint)
+        if remaining_ms <= 0.0:
+            if not suspicion.crashes and not self.is_proven(fingerprint):
+                suspicion.note_crash(AT_PEER, now_ms)
+            return
         bounded_ms = min(MOST_QUARANTINE_MS, remaining_ms)
         suspicion.until_ms = max(suspicion.until_ms, now_ms + bounded_ms)
+        self._any_until_ms = max(self._any_until_ms, suspicion.until_ms)
         self._proven.discard(fingerprint)
 
     def take_told(self) -> list[int]:
@@ -130,14 +153,15 @@
         told, self.told = self.told, []
         return told
 
-    def quarantined_count(self, now_ms: float) -> int:
-        """Return the number of quarantined fingerprints, for status."""
-        return sum(found.until_ms > now_ms for found in self._suspicions.values())
+    def has_quarantined(self, now_ms: float) -> bool:
+        """Return whether any fingerprint is quarantined now."""
+        return now_ms < self._any_until_ms
 
     def _quarantine(self, fingerprint: int, suspicion: Suspicion, now_ms: float) -> None:
         lasts_ms = min(MOST_QUARANTINE_MS, FIRST_QUARANTINE_MS * 2.0**suspicion.times)
         suspicion.times += 1
         suspicion.until_ms = now_ms + lasts_ms
+        self._any_until_ms = max(self._any_until_ms, suspicion.until_ms)
         # One crash is kept, so that the next one after the quarantine renews it at once.
         suspicion.crashes = suspicion.crashes[-1:]
         self._proven.discard(fingerprint)
