--- a/packages/geraniumlead/src/geraniumlead/coordination/crash_guard.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/crash_guard.py
@@ -53,3 +53,7 @@
         if self._book.note_lost(query.fingerprint, upstream_id, now_ms):
             return False
         return self._book.may_try_again(query.fingerprint, query.request.deadline_ms, now_ms)
+
+    def is_quarantined(self, query: OpenQuery, now_ms: float) -> bool:
+        """Return whether the query is quarantined now."""
+        return self._book.remaining_ms(query.fingerprint, now_ms) > 0.0
--- a/packages/geraniumlead/src/geraniumlead/instance/quarantine_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/quarantine_handler.py
@@ -27,16 +27,19 @@
 
     def hear(self, notice: QuarantineNotice, now_ms: float) -> None:
         """Take over what a peer quarantined."""
-        self._parts.quarantine.hear(notice.fingerprint, notice.remaining_ms, now_ms)
+        self._parts.quarantine.hear(
+            notice.fingerprint, notice.upstream_id, notice.remaining_ms, now_ms
+        )
 
     def tell_peers(self, now_ms: float) -> None:
         """Tell every peer what was quarantined here since the last call."""
         parts = self._parts
-        for fingerprint in parts.quarantine.take_told():
+        for fingerprint, upstream_id in parts.quarantine.take_told():
             notice = QuarantineNotice(
                 fingerprint=fingerprint,
                 strikes=parts.quarantine.strikes(fingerprint),
                 remaining_ms=parts.quarantine.remaining_ms(fingerprint, now_ms),
+                upstream_id=upstream_id,
             )
             for instance_id in parts.membership.peers:
                 parts.send(instance_id, notice)
--- a/packages/geraniumlead/src/geraniumlead/quarantine/quarantine_book.py
+++ b/packages/geraniumlead/src/geraniumlead/quarantine/quarantine_book.py
@@ -19,9 +19,6 @@
 
 MEMORY_MS = 60_000.0
 
-AT_PEER = "at a peer"
-"""Stands for the upstream of a crash that a peer saw."""
-
 MOST_TOLD = 4
 """Strikes told to peers at once: of the unproven requests on one crashed upstream there are
 few, and a notice goes to every peer."""
@@ -61,7 +58,7 @@
         self._tried: int | None = None
         self._tried_until_ms = 0.0
         self._any_until_ms = float("-inf")
-        self.told: list[int] = []
+        self.told: list[tuple[int, str]] = []
 
     def is_proven(self, fingerprint: int) -> bool:
         """Return whether the fingerprint ran well lately."""
@@ -116,10 +113,10 @@
             return True
         if len(suspicion.crashes) < (STRIKES_WHEN_PROVEN if is_proven else STRIKES):
             if not is_proven and len(self.told) < MOST_TOLD:
-                self.told.append(fingerprint)
+                self.told.append((fingerprint, upstream_id))
             return False
         self._quarantine(fingerprint, suspicion, now_ms)
-        self.told.append(fingerprint)
+        self.told.append((fingerprint, upstream_id))
         return True
 
     def may_try_again(self, fingerprint: int, until_ms: float, now_ms: float) -> bool:
@@ -136,20 +133,28 @@
         self._tried, self._tried_until_ms = fingerprint, until_ms
         return True
 
-    def hear(self, fingerprint: int, remaining_ms: float, now_ms: float) -> None:
+    def hear(self, fingerprint: int, upstream_id: str, remaining_ms: float, now_ms: float) -> None:
         """Take over a strike or a quarantine of a peer."""
-        suspicion = self._suspicion_of(fingerprint)
         if remaining_ms <= 0.0:
-            if not suspicion.crashes and not self.is_proven(fingerprint):
-                suspicion.note_crash(AT_PEER, now_ms)
+            self._hear_strike(fingerprint, upstream_id, now_ms)
             return
+        suspicion = self._suspicion_of(fingerprint)
         bounded_ms = min(MOST_QUARANTINE_MS, remaining_ms)
         suspicion.until_ms = max(suspicion.until_ms, now_ms + bounded_ms)
         self._any_until_ms = max(self._any_until_ms, suspicion.until_ms)
         self._proven.discard(fingerprint)
 
-    def take_told(self) -> list[int]:
-        """Return the fingerprints of which peers have to be told, once."""
+    def _hear_strike(self, fingerprint: int, upstream_id: str, now_ms: float) -> None:
+        if self.is_proven(fingerprint):
+            return
+        suspicion = self._suspicion_of(fingerprint)
+        suspicion.forget_before(now_ms - MEMORY_MS)
+        suspicion.note_crash(upstream_id, now_ms)
+        if suspicion.until_ms <= now_ms and len(suspicion.crashes) >= STRIKES:
+            self._quarantine(fingerprint, suspicion, now_ms)
+
+    def take_told(self) -> list[tuple[int, str]]:
+        """Return the fingerprints and upstreams of which peers have to be told, once."""
         told, self.told = self.told, []
         return told
 
--- a/packages/geraniumlead/tests/core_tests/quarantine/test_quarantine_book.py
+++ b/packages/geraniumlead/tests/core_tests/quarantine/test_quarantine_book.py
@@ -54,7 +54,7 @@
         crash(self.book, "u2", [CULPRIT], 5.0)
         self.assertEqual(FIRST_QUARANTINE_MS, self.book.remaining_ms(CULPRIT, 5.0))
         self.assertFalse(self.book.may_try_again(CULPRIT, 200.0, 5.0))
-        self.assertEqual([CULPRIT] * 2, self.book.take_told())
+        self.assertEqual([(CULPRIT, "u1"), (CULPRIT, "u2")], self.book.take_told())
 
     def test_calls_lost_in_one_crash_are_one_strike(self):
         for now_ms in (0.0, 0.5, 1.0):
@@ -109,7 +109,7 @@
         self.assertEqual(2 * FIRST_QUARANTINE_MS, self.book.remaining_ms(CULPRIT, later_ms))
 
     def test_peers_word_is_taken(self):
-        self.book.hear(CULPRIT, 5_000.0, 100.0)
+        self.book.hear(CULPRIT, "", 5_000.0, 100.0)
         self.assertEqual(5_000.0, self.book.remaining_ms(CULPRIT, 100.0))
         self.assertEqual([], self.book.take_told())
 
@@ -121,7 +121,12 @@
 
     def test_peers_strike_counts_as_one(self):
         """A crash at a peer and one here are two crashes of the fleet."""
-        self.book.hear(CULPRIT, 0.0, 100.0)
+        self.book.hear(CULPRIT, "u1", 0.0, 100.0)
         self.assertEqual(0.0, self.book.remaining_ms(CULPRIT, 100.0))
         crash(self.book, "u2", [CULPRIT], 200.0)
         self.assertGreater(self.book.remaining_ms(CULPRIT, 200.0), 0.0)
+
+    def test_same_crash_seen_here_and_by_a_peer_is_one(self):
+        crash(self.book, "u1", [CULPRIT], 100.0)
+        self.book.hear(CULPRIT, "u1", 0.0, 101.0)
+        self.assertEqual(1, self.book.strikes(CULPRIT))
