Hold calls on a closed upstream against their requests

Cause: at seed 3 of the crash test a query crashed two upstreams and was never quarantined: the closed connection arrived as a sign of cold start just before the lost call, which was cancelled as cold, and the second strike was never counted. 30 callers then waited 200 ms each. Calls in flight on an upstream that closed its connections now end as lost.

--- a/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
@@ -7,7 +7,15 @@
 from geraniumlead.dispatch.upstream_gate import MOST_WAITING_PER_PLACE, UpstreamGate
 from geraniumlead.dispatch.waiting_call import WaitingCall
 from geraniumlead.ownership.owners import OwnerTable
-from geraniumlead.upstreams.answers import Cold, Draining, Records, Shed, TimedOut, UpstreamAnswer
+from geraniumlead.upstreams.answers import (
+    Cold,
+    ConnectionLost,
+    Draining,
+    Records,
+    Shed,
+    TimedOut,
+    UpstreamAnswer,
+)
 from geraniumlead.upstreams.subquery import Subquery
 
 SHED_RETRY_AFTER_MS = 50.0
@@ -65,7 +73,7 @@
                 if not gate.in_flight:
                     del self._gates[upstream_id]
             else:
-                steps += self._keep_within_allowance(gate, now_ms)
+                steps += self._keep_within_allowance(gate, Cold(), now_ms)
         return steps
 
     def submit(self, subquery: Subquery, origin: str | None, now_ms: float) -> list[DispatchStep]:
@@ -126,7 +134,7 @@
         gate = self._gates.get(upstream_id)
         if gate is None or not is_news:
             return []
-        steps = self._keep_within_allowance(gate, now_ms)
+        steps = self._keep_within_allowance(gate, ConnectionLost("closed"), now_ms)
         return [*self._tell_owners(gate, WarmthPhase.COLD), *steps]
 
     def note_told(self, upstream_id: str, phase: str, now_ms: float) -> list[DispatchStep]:
@@ -137,7 +145,8 @@
         gate = self._gates.get(upstream_id)
         if gate is None:
             return []
-        return [*self._keep_within_allowance(gate, now_ms), *self._start_waiting(gate, now_ms)]
+        steps = self._keep_within_allowance(gate, Cold(), now_ms)
+        return [*steps, *self._start_waiting(gate, now_ms)]
 
     def wake(self, now_ms: float) -> list[DispatchStep]:
         """Start what waited for a time to come."""
@@ -208,8 +217,11 @@
         told = self._guard.note_answer(gate.entry, answer, call.started_ms, warm_limit, now_ms)
         if told is None:
             return []
-        steps = self._keep_within_allowance(gate, now_ms) if told is WarmthPhase.COLD else []
-        return [*self._tell_owners(gate, told), *steps]
+        tell = self._tell_owners(gate, told)
+        if told is not WarmthPhase.COLD:
+            return tell
+        ended = answer if isinstance(answer, ConnectionLost) else Cold()
+        return [*tell, *self._keep_within_allowance(gate, ended, now_ms)]
 
     def _tell_owners(self, gate: UpstreamGate, phase: WarmthPhase) -> list[DispatchStep]:
         upstream_id = gate.entry.upstream_id
@@ -217,10 +229,14 @@
         others = tuple(name for name in owners if name != self._instance_id)
         return [TellOwners(upstream_id, others, phase)] if others else []
 
-    def _keep_within_allowance(self, gate: UpstreamGate, now_ms: float) -> list[DispatchStep]:
+    def _keep_within_allowance(
+        self, gate: UpstreamGate, ended: UpstreamAnswer, now_ms: float
+    ) -> list[DispatchStep]:
         """Cancel what a cold upstream can't bear: all but the first call of a slot holder.
 
-        A non-idempotent call goes on: cut off, its outcome would be unknown for ever.
+        A non-idempotent call goes on: cut off, its outcome would be unknown for ever. The
+        others end with ``ended``: calls whose upstream closed its connections are lost, as
+        one of them may have crashed it, and has to be held against its request.
         """
         entry = gate.entry
         if self._guard.takes_load(entry.upstream_id, now_ms):
@@ -233,7 +249,7 @@
             call_id = call.subquery.call_id
             gate.note_ended(call)
             del self._calls[call_id]
-            steps += [StopCall(call_id), self._end(call, Cold())]
+            steps += [StopCall(call_id), self._end(call, ended)]
         return steps
 
     def _gate_for(self, upstream_id: str) -> UpstreamGate | None:
