Refuse a struck request for two seconds instead of letting it wait for its replicas

Cause: after one crash the other replica of an unproven query may refuse it as cold, so no second strike comes; its repeats waited for the pair until their deadline and held places of the limit (bystanders were refused), and a failure without any answer counted as a latency.

--- a/packages/geraniumlead/src/geraniumlead/admission/controller.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/controller.py
@@ -14,6 +14,7 @@
 from geraniumlead.documents.traffic_class import TrafficClass
 from geraniumlead.peers.messages import ContractDemand
 from geraniumlead.requests.caller_request import CallerRequest
+from geraniumlead.requests.coverage import Coverage
 from geraniumlead.requests.outcomes import Answered, Failed, NotRun, Outcome
 from geraniumlead.requests.reasons import RefusalReason
 from geraniumlead.settings.limits import LimitSettings
@@ -134,7 +135,8 @@
     def release(self, request_id: str, now_ms: float, outcome: Outcome | None = None) -> None:
         """Give back the place of a request that has its outcome, or that its caller left.
 
-        An outcome tells the limit how the upstreams bore it; None tells nothing.
+        An outcome tells the limit how the upstreams bore it; None tells nothing, and neither
+        does a failure without any answer: it may have ended at once, or waited for a crash.
         """
         held = self._forget(request_id)
         if held is None:
@@ -146,7 +148,9 @@
             return
         pool.end(item, now_ms)
         match outcome:
-            case Answered() | Failed():
+            case Answered():
+                pool.limit.observe(item.kind, item.started_ms, now_ms)
+            case Failed(coverage=Coverage() as coverage) if coverage.answered_shards > 0:
                 pool.limit.observe(item.kind, item.started_ms, now_ms)
             case NotRun(reason=RefusalReason.UPSTREAM_SHED):
                 pool.limit.note_shed()
--- a/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
@@ -235,6 +235,9 @@
     def _park(
         self, query: OpenQuery, shard: ShardState, reason: MissingReason, now_ms: float
     ) -> bool:
+        if query.canary is not None and self.guard.is_suspected(query):
+            # Both replicas may be down for its sake; to wait for them would hold a place.
+            return False
         armed_ms = query.check_ms
         if not self._watch.park(query, shard, reason, now_ms):
             return False
@@ -257,7 +260,7 @@
             steps += asked
             if asked:
                 steps += self._probe(query, shard, now_ms)
-            elif not self._watch.park(query, shard, MissingReason.NO_REPLICA, now_ms):
+            elif not self._park(query, shard, MissingReason.NO_REPLICA, now_ms):
                 steps += self._resolve(query, shard, None, MissingReason.NO_REPLICA, now_ms)
         self._watch.schedule(query, now_ms)
         self._arm_check(query)
--- a/packages/geraniumlead/src/geraniumlead/coordination/crash_guard.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/crash_guard.py
@@ -57,3 +57,7 @@
     def is_quarantined(self, query: OpenQuery, now_ms: float) -> bool:
         """Return whether the query is quarantined now."""
         return self._book.remaining_ms(query.fingerprint, now_ms) > 0.0
+
+    def is_suspected(self, query: OpenQuery) -> bool:
+        """Return whether a crash is held against the query."""
+        return self._book.strikes(query.fingerprint) > 0
--- a/packages/geraniumlead/src/geraniumlead/instance/quarantine_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/quarantine_handler.py
@@ -20,10 +20,10 @@
         if not book.has_quarantined(now_ms):
             return None
         fingerprint = compute_fingerprint(request.customer, request.class_name, request.query)
-        remaining_ms = book.remaining_ms(fingerprint, now_ms)
-        if remaining_ms <= 0.0:
+        refused_ms = book.refused_ms(fingerprint, now_ms)
+        if refused_ms <= 0.0:
             return None
-        return NotRun(RefusalReason.QUARANTINED, remaining_ms)
+        return NotRun(RefusalReason.QUARANTINED, refused_ms)
 
     def hear(self, notice: QuarantineNotice, now_ms: float) -> None:
         """Take over what a peer quarantined."""
--- a/packages/geraniumlead/src/geraniumlead/quarantine/quarantine_book.py
+++ b/packages/geraniumlead/src/geraniumlead/quarantine/quarantine_book.py
@@ -19,6 +19,11 @@
 
 MEMORY_MS = 60_000.0
 
+HOLD_MS = 2_000.0
+"""After a first strike new requests are refused for this time, or until the one that was
+struck is answered: its replicas may be down for its sake, and each that waits for them holds
+a place that others need."""
+
 MOST_TOLD = 4
 """Strikes told to peers at once: of the unproven requests on one crashed upstream there are
 few, and a notice goes to every peer."""
@@ -69,6 +74,13 @@
         suspicion = self._suspicions.get(fingerprint)
         return 0.0 if suspicion is None else max(0.0, suspicion.until_ms - now_ms)
 
+    def refused_ms(self, fingerprint: int, now_ms: float) -> float:
+        """Return how long new requests of the fingerprint are refused; 0 when they are not."""
+        suspicion = self._suspicions.get(fingerprint)
+        if suspicion is None:
+            return 0.0
+        return max(0.0, suspicion.until_ms - now_ms, suspicion.held_until_ms - now_ms)
+
     def strikes(self, fingerprint: int) -> int:
         """Return the crashes that are held against the fingerprint."""
         suspicion = self._suspicions.get(fingerprint)
@@ -112,8 +124,10 @@
         if suspicion.until_ms > now_ms:
             return True
         if len(suspicion.crashes) < (STRIKES_WHEN_PROVEN if is_proven else STRIKES):
-            if not is_proven and len(self.told) < MOST_TOLD:
-                self.told.append((fingerprint, upstream_id))
+            if not is_proven:
+                self._hold(suspicion, now_ms)
+                if len(self.told) < MOST_TOLD:
+                    self.told.append((fingerprint, upstream_id))
             return False
         self._quarantine(fingerprint, suspicion, now_ms)
         self.told.append((fingerprint, upstream_id))
@@ -152,6 +166,8 @@
         suspicion.note_crash(upstream_id, now_ms)
         if suspicion.until_ms <= now_ms and len(suspicion.crashes) >= STRIKES:
             self._quarantine(fingerprint, suspicion, now_ms)
+        else:
+            self._hold(suspicion, now_ms)
 
     def take_told(self) -> list[tuple[int, str]]:
         """Return the fingerprints and upstreams of which peers have to be told, once."""
@@ -162,6 +178,10 @@
         """Return whether any fingerprint is quarantined now."""
         return now_ms < self._any_until_ms
 
+    def _hold(self, suspicion: Suspicion, now_ms: float) -> None:
+        suspicion.held_until_ms = now_ms + HOLD_MS
+        self._any_until_ms = max(self._any_until_ms, suspicion.held_until_ms)
+
     def _quarantine(self, fingerprint: int, suspicion: Suspicion, now_ms: float) -> None:
         lasts_ms = min(MOST_QUARANTINE_MS, FIRST_QUARANTINE_MS * 2.0**suspicion.times)
         suspicion.times += 1
--- a/packages/geraniumlead/src/geraniumlead/quarantine/suspicion.py
+++ b/packages/geraniumlead/src/geraniumlead/quarantine/suspicion.py
@@ -12,6 +12,7 @@
 
     crashes: list[tuple[str, float]] = field(default_factory=list)
     until_ms: float = float("-inf")
+    held_until_ms: float = float("-inf")
     times: int = 0
 
     def note_crash(self, upstream_id: str, now_ms: float) -> bool:
--- a/packages/geraniumlead/tests/core_tests/quarantine/test_quarantine_book.py
+++ b/packages/geraniumlead/tests/core_tests/quarantine/test_quarantine_book.py
@@ -6,7 +6,7 @@
 from geraniumlead.configuration import ClusterView, PlacedUpstream
 from geraniumlead.planning import QueryPlan, ShardPlan
 from geraniumlead.quarantine import CanaryPlanner, QuarantineBook, compute_fingerprint
-from geraniumlead.quarantine.quarantine_book import FIRST_QUARANTINE_MS, MOST_PROVEN
+from geraniumlead.quarantine.quarantine_book import FIRST_QUARANTINE_MS, HOLD_MS, MOST_PROVEN
 
 CULPRIT, BYSTANDER = 1, 2
 
@@ -56,6 +56,12 @@
         self.assertFalse(self.book.may_try_again(CULPRIT, 200.0, 5.0))
         self.assertEqual([(CULPRIT, "u1"), (CULPRIT, "u2")], self.book.take_told())
 
+    def test_first_strike_holds_new_requests_until_the_struck_one_is_answered(self):
+        crash(self.book, "u1", [CULPRIT], 0.0)
+        self.assertEqual(HOLD_MS, self.book.refused_ms(CULPRIT, 0.0))
+        self.book.note_answered(CULPRIT, 10.0)
+        self.assertEqual(0.0, self.book.refused_ms(CULPRIT, 10.0))
+
     def test_calls_lost_in_one_crash_are_one_strike(self):
         for now_ms in (0.0, 0.5, 1.0):
             crash(self.book, "u1", [CULPRIT], now_ms)
