Strike nobody for an outage of many upstreams

Cause: when all upstreams of a data centre restart at once, the most frequent request is on every one of them, got three strikes and would have been refused for 30 s. Found by the routing tests of a cold data centre, in which one query is sent all the time.

More than two upstreams that lose their connections within a second are an outage: nobody is struck, and whoever was there has to prove itself again on one shard, since a proven query that turned bad looks the same.

--- a/packages/geraniumlead/src/geraniumlead/quarantine/quarantine_book.py
+++ b/packages/geraniumlead/src/geraniumlead/quarantine/quarantine_book.py
@@ -19,6 +19,12 @@
 
 MEMORY_MS = 60_000.0
 
+OUTAGE_MS = 1_000.0
+MOST_CRASHES_OF_ONE = 2
+"""An unproven request reaches two upstreams. When more than two lose their connections
+within a second, a data centre restarts or a link broke, and to strike everybody who was
+there would refuse the customers' most frequent requests for half a minute."""
+
 HOLD_MS = 2_000.0
 """After a first strike new requests are refused for this time, or until the one that was
 struck is answered: its replicas may be down for its sake, and each that waits for them holds
@@ -91,9 +97,7 @@
         self._proven.add(fingerprint)
         if self._tried == fingerprint:
             self._tried = None
-        suspicion = self._suspicions.get(fingerprint)
-        if suspicion is not None and suspicion.until_ms <= now_ms:
-            del self._suspicions[fingerprint]
+        self._clear(fingerprint, now_ms)
 
     def knows_crash(self, upstream_id: str, now_ms: float) -> bool:
         """Return whether the crash of an upstream was already looked at."""
@@ -103,15 +107,19 @@
     def note_crash(self, upstream_id: str, fingerprints: set[int], now_ms: float) -> None:
         """Note which fingerprints were on an upstream when its connections ended."""
         self._crashes = {
-            name: crash
-            for name, crash in self._crashes.items()
-            if now_ms - crash[0] <= SAME_CRASH_MS
+            name: crash for name, crash in self._crashes.items() if now_ms - crash[0] <= OUTAGE_MS
         }
         has_unproven = any(not self.is_proven(found) for found in fingerprints)
         self._crashes[upstream_id] = (now_ms, has_unproven)
 
     def note_lost(self, fingerprint: int, upstream_id: str, now_ms: float) -> bool:
         """Strike a fingerprint whose connection was lost; True when it is quarantined now."""
+        if self._is_outage(now_ms):
+            # The cause is not one of those that were there, or it was one that every instance
+            # takes for proven; from here on each of them has to prove itself again.
+            self._proven.discard(fingerprint)
+            self._clear(fingerprint, now_ms)
+            return self.remaining_ms(fingerprint, now_ms) > 0.0
         is_proven = self.is_proven(fingerprint)
         _, has_unproven = self._crashes.get(upstream_id, (now_ms, False))
         if is_proven and has_unproven:
@@ -178,6 +186,15 @@
         """Return whether any fingerprint is quarantined now."""
         return now_ms < self._any_until_ms
 
+    def _clear(self, fingerprint: int, now_ms: float) -> None:
+        suspicion = self._suspicions.get(fingerprint)
+        if suspicion is not None and suspicion.until_ms <= now_ms:
+            del self._suspicions[fingerprint]
+
+    def _is_outage(self, now_ms: float) -> bool:
+        recent = sum(now_ms - at_ms <= OUTAGE_MS for at_ms, _ in self._crashes.values())
+        return recent > MOST_CRASHES_OF_ONE
+
     def _hold(self, suspicion: Suspicion, now_ms: float) -> None:
         suspicion.held_until_ms = now_ms + HOLD_MS
         self._any_until_ms = max(self._any_until_ms, suspicion.held_until_ms)
