--- /dev/null
+++ b/packages/geraniumlead-server/tests/server_tests/upstream_client/test_client.py
@@ -0,0 +1,82 @@
+"""Test calls to an upstream on a loopback port."""
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+from aiohttp import web
+
+from geraniumlead.actions import CallUpstream
+from geraniumlead.events import UpstreamAnswered, UpstreamDisconnected
+from geraniumlead.upstreams import Records, Subquery, TimedOut
+from geraniumlead_server.upstream_client import UpstreamClient
+from server_tests.ports import find_free_port
+
+LONGEST_WAIT_S = 5.0
+
+
+def build_action(call_id: str, address: str, query: bytes = b"{}", **changes) -> CallUpstream:
+    subquery = Subquery(call_id, "r1", "ledger-0", "ledger", 1, 0, 1_000.0, query)
+    values = {"timeout_ms": 2_000.0, "connections": 2, "overdue_ms": 60.0}
+    return CallUpstream(call_id, address, subquery, **(values | changes))
+
+
+async def answer(request: web.Request) -> web.Response:
+    if b"silent" in await request.read():
+        await asyncio.sleep(LONGEST_WAIT_S)
+    return web.json_response({"index_version": 1, "shard": 0, "records": []})
+
+
+class UpstreamClientTests(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        app = web.Application()
+        app.router.add_post("/v1/subqueries", answer)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        self.address = f"127.0.0.1:{find_free_port()}"
+        await web.TCPSite(self.runner, "127.0.0.1", int(self.address.split(":")[1])).start()
+        self.events: list[UpstreamAnswered | UpstreamDisconnected] = []
+        self.client = UpstreamClient(self.events.append)
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.runner.cleanup()
+
+    async def wait_for_events(self, count: int) -> None:
+        async with asyncio.timeout(LONGEST_WAIT_S):
+            while len(self.events) < count:
+                await asyncio.sleep(0.005)
+
+    async def test_overdue_call_ends_when_other_connections_answer(self):
+        """One connection has gone silent, the upstream answers on another.
+
+        Its caller would wait for the whole deadline, and the next caller after it.
+        """
+        self.client.call(build_action("c1", self.address, b'"silent"'))
+        await asyncio.sleep(0.01)
+        self.client.call(build_action("c2", self.address))
+        await self.wait_for_events(2)
+        self.assertIsInstance(self.events[0].answer, Records)
+        self.assertEqual(UpstreamAnswered("c1", TimedOut(silent_connection=True)), self.events[1])
+
+    async def test_overdue_call_goes_on_when_nothing_else_answers(self):
+        self.client.call(build_action("c1", self.address, b'"silent"', timeout_ms=250.0))
+        await self.wait_for_events(1)
+        self.assertEqual([UpstreamAnswered("c1", TimedOut())], self.events)
+
+    async def test_upstream_that_closes_an_idle_connection_is_reported(self):
+        """An upstream restarts while it has nothing to do.
+
+        Without the report the next calls of all owners reach it cold at the same time.
+        """
+        self.client.call(build_action("c1", self.address))
+        await self.wait_for_events(1)
+        await self.runner.cleanup()
+        await self.wait_for_events(2)
+        self.assertEqual(UpstreamDisconnected("ledger-0"), self.events[1])
+
+    async def test_own_close_is_not_reported(self):
+        self.client.call(build_action("c1", self.address))
+        await self.wait_for_events(1)
+        await self.client.close()
+        await asyncio.sleep(0.02)
+        self.assertEqual(1, len(self.events))
