--- a/packages/geraniumlead-standins/tests/standins_tests/membership/test_start.py
+++ b/packages/geraniumlead-standins/tests/standins_tests/membership/test_start.py
@@ -2,6 +2,7 @@
 
 from unittest import TestCase
 
+from geraniumlead.events import TicketAsked
 from geraniumlead.requests import Answered, RefusalReason
 from geraniumlead_standins.virtual.small_cluster import ClusterSize
 from standins_tests.membership.builders import SETTLED_MS, RecordedCluster
@@ -52,6 +53,10 @@
         self.assertFalse(recorded.instance("noord-0").parts.is_ready)
         recorded.ask("noord-0", "r1")
         self.assertEqual(RefusalReason.OUT_OF_SERVICE, recorded.outcomes["r1"].reason)
+        tickets = []
+        recorded.run.on_answer = lambda name, action, now_ms: tickets.append(action)
+        recorded.run.deliver("noord-0", TicketAsked("t1", "acme", "booking"))
+        self.assertEqual(RefusalReason.OUT_OF_SERVICE, tickets[0].refusal.reason)
         recorded.run.platform.is_down = False
         recorded.run_for(3_000.0)
         recorded.ask("noord-0", "r2")
--- a/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
@@ -85,6 +85,10 @@
     def give_ticket(self, event: TicketAsked, now_ms: float) -> None:
         """Give out a ticket for one request of a non-idempotent class."""
         parts = self._parts
+        if not parts.is_configured:
+            refusal = NotRun(RefusalReason.OUT_OF_SERVICE, REFUSAL_RETRY_AFTER_MS)
+            parts.actions.append(GiveTicket(event.request_id, None, 0.0, refusal))
+            return
         traffic_class = parts.class_of(event.customer, event.class_name)
         if traffic_class is None or traffic_class.idempotent:
             refusal = NotRun(RefusalReason.TICKET_INVALID, 0.0)
