--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -165,6 +165,9 @@
                     self.parts.admission.observe_wall_clock(wall_now_s, now_ms)
 
     def _take_message(self, sender_id: str, message: PeerMessage, now_ms: float) -> None:
+        if sender_id not in self.parts.membership.peers:
+            # Nothing can be sent back to it, so work for it would be for nobody.
+            return
         self.parts.membership.note_heard(sender_id, now_ms)
         match message:
             case Heartbeat() | Goodbye():
--- a/packages/geraniumlead/src/geraniumlead/instance/stop_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/stop_handler.py
@@ -39,6 +39,8 @@
             return
         work = self.count_work()
         if parts.lifecycle.may_exit(work, now_ms):
+            if work:
+                parts.actions.append(Report("stop_bound_reached", {"cut_off": work}, "error"))
             parts.actions.append(StopNow(work))
 
     def count_work(self) -> int:
