--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.stamp-$(shell cat requirements/*.txt packages/*/pyproject.toml | cksum | cut -d' ' -f1)
 PACKAGES := geraniumlead geraniumlead-server geraniumlead-client geraniumlead-standins
 
-.PHONY: setup test lint format pages demo bench histories capacity soak pages
+.PHONY: setup test lint format demo bench histories capacity soak pages
 
 setup: $(STAMP)
 
@@ -30,12 +30,6 @@
 test: setup
 	$(BIN)/python -m geraniumlead_standins.testing.runner packages
 
-# What is generated and committed; tests fail when it is out of date.
-pages: setup
-	$(BIN)/geraniumlead schema --folder docs/reference/schemas
-	$(BIN)/python -m geraniumlead_server.callers.openapi > docs/reference/openapi.json
-	$(BIN)/python -m geraniumlead_standins.deployments
-
 demo: setup
 	$(BIN)/python -m geraniumlead_standins.demo
 
