--- a/packages/geraniumlead/src/geraniumlead/coordination/call_book.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/call_book.py
@@ -1,5 +1,7 @@
 """Send the subqueries of open queries and remember which are out."""
 
+from collections.abc import Iterator
+
 from geraniumlead.coordination.open_call import OpenCall
 from geraniumlead.coordination.open_query import OpenQuery
 from geraniumlead.coordination.shard_state import ShardState
@@ -41,6 +43,12 @@
         shard.sent_ms, shard.is_overdue, shard.parked_until_ms = now_ms, False, None
         return [step]
 
+    def queries_at(self, upstream_id: str) -> Iterator[OpenQuery]:
+        """Return the queries with a call at an upstream; a look at every call that is out."""
+        return (
+            call.query for call in self._calls.values() if call.route.upstream_id == upstream_id
+        )
+
     def has_suspects(self) -> bool:
         """Return whether a replica is suspected and may want a probe."""
         return bool(self._router.suspected())
@@ -131,6 +139,7 @@
             customer=request.customer,
             class_name=request.class_name,
             priority=query.traffic_class.priority,
+            fingerprint=query.fingerprint,
             attempt=shard.sent_count + 1,
         )
         return AskUpstream(subquery, route)
--- a/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
@@ -5,6 +5,7 @@
 from geraniumlead.configuration.cluster_view import ClusterView
 from geraniumlead.coordination.budget_book import BudgetBook
 from geraniumlead.coordination.call_book import CallBook
+from geraniumlead.coordination.crash_guard import CrashGuard
 from geraniumlead.coordination.missing import missing_reason_of
 from geraniumlead.coordination.open_call import OpenCall
 from geraniumlead.coordination.open_query import OpenQuery
@@ -22,6 +23,7 @@
 from geraniumlead.upstreams.answers import (
     SURELY_NOT_RUN,
     Cold,
+    ConnectionLost,
     Draining,
     NotReached,
     Records,
@@ -44,9 +46,10 @@
     This is the one layer that retries, so that tries never multiply.
     """
 
-    __slots__ = ("_budgets", "_calls", "_queries", "_view", "_wakes", "_watch")
+    __slots__ = ("_budgets", "_calls", "_queries", "_view", "_wakes", "_watch", "guard")
 
-    def __init__(self, call_prefix: str, router: Router) -> None:
+    def __init__(self, call_prefix: str, router: Router, guard: CrashGuard) -> None:
+        self.guard = guard
         clock = StragglerClock()
         self._view = ClusterView()
         self._queries: dict[str, OpenQuery] = {}
@@ -62,12 +65,17 @@
     def update(self, view: ClusterView) -> None:
         """Take over a new view; running queries keep their plan."""
         self._view = view
+        self.guard.update(view)
 
     def start(
         self, request: CallerRequest, traffic_class: TrafficClass, plan: QueryPlan, now_ms: float
     ) -> list[CoordinationStep]:
         """Send the first subqueries of a query."""
-        query = OpenQuery.from_plan(request, traffic_class, plan, now_ms)
+        fingerprint = self.guard.identify(request)
+        canary = self.guard.first_step(plan, fingerprint)
+        first_plan = plan if canary is None else canary.plan
+        query = OpenQuery.from_plan(request, traffic_class, first_plan, now_ms)
+        query.fingerprint, query.canary = fingerprint, canary
         self._queries[request.request_id] = query
         heappush(self._wakes, (request.deadline_ms, request.request_id))
         self._budgets.earn(query)
@@ -98,6 +106,8 @@
                 continue
             if query.request.deadline_ms <= now_ms:
                 steps += self._end(query, self._outcome_of(query), now_ms)
+            elif query.canary is not None and self.guard.is_quarantined(query, now_ms):
+                steps += self._give_up_canary(query, now_ms)
             elif query.check_ms <= now_ms:
                 steps += self._watch.check(query, now_ms)
                 self._arm_check(query)
@@ -118,6 +128,9 @@
         query, shard = call.query, call.shard
         if shard.is_resolved:
             return []
+        may_try_again = True
+        if isinstance(answer, ConnectionLost):
+            may_try_again = self._note_lost(call, now_ms)
         match answer:
             case Records() if self._is_of_plan(query, shard, answer):
                 return self._resolve(query, shard, answer.records, None, now_ms)
@@ -127,8 +140,15 @@
                 # The upstream may have run the request, so a second try might run it twice.
                 outcome = Unknown("the connection to the upstream ended without an answer")
                 return self._end(query, outcome, now_ms)
+        if not may_try_again and not shard.call_ids:
+            return self._resolve(query, shard, None, MissingReason.CONNECTION_LOST, now_ms)
         return self._try_again(query, shard, answer, now_ms)
 
+    def _note_lost(self, call: OpenCall, now_ms: float) -> bool:
+        upstream_id = call.route.upstream_id
+        present = self._calls.queries_at(upstream_id)
+        return self.guard.note_lost(call.query, upstream_id, present, now_ms)
+
     def _is_of_plan(self, query: OpenQuery, shard: ShardState, answer: Records) -> bool:
         return (answer.index_version, answer.shard) == (
             query.plan.index_version,
@@ -145,7 +165,36 @@
     ) -> list[CoordinationStep]:
         shard.records, shard.missing_reason = records, reason
         query.unresolved -= 1
-        return self._calls.drop_shard(shard, now_ms)
+        steps = self._calls.drop_shard(shard, now_ms)
+        return steps + self._follow_canary(query, shard, now_ms)
+
+    def _follow_canary(
+        self, query: OpenQuery, shard: ShardState, now_ms: float
+    ) -> list[CoordinationStep]:
+        """Ask the other shards once the first one has its answer.
+
+        A first one without an answer has no followers: it may have crashed its upstreams, or
+        another instance's did.
+        """
+        canary = query.canary
+        if canary is None or query.shards[canary.place] is not shard:
+            return []
+        query.canary = None
+        others = [found for found in query.shards if found is not shard]
+        if shard.records is not None:
+            self.guard.note_answered(query, now_ms)
+            return self._ask_shards(query, others, now_ms)
+        for other in others:
+            other.missing_reason = shard.missing_reason
+        query.unresolved -= len(others)
+        return []
+
+    def _give_up_canary(self, query: OpenQuery, now_ms: float) -> list[CoordinationStep]:
+        assert query.canary is not None
+        first = query.shards[query.canary.place]
+        reason = MissingReason.CONNECTION_LOST
+        steps = self._resolve(query, first, None, reason, now_ms)
+        return steps + self._end(query, self._outcome_of(query), now_ms)
 
     def _retire_replica(self, call: OpenCall, now_ms: float) -> list[CoordinationStep]:
         query, shard = call.query, call.shard
@@ -163,6 +212,9 @@
         if plan is None:
             return []
         steps = self._calls.drop_query(query, now_ms)
+        if query.canary is not None:
+            query.canary = self.guard.first_step(plan, query.fingerprint)
+            plan = plan if query.canary is None else query.canary.plan
         query.start_again(plan)
         return steps + self._ask_all(query, now_ms)
 
@@ -191,17 +243,25 @@
         return True
 
     def _ask_all(self, query: OpenQuery, now_ms: float) -> list[CoordinationStep]:
+        shards = query.shards
+        if query.canary is not None:
+            shards = [query.shards[query.canary.place]]
+        return self._ask_shards(query, shards, now_ms) + self._end_if_done(query, now_ms)
+
+    def _ask_shards(
+        self, query: OpenQuery, shards: list[ShardState], now_ms: float
+    ) -> list[CoordinationStep]:
         steps: list[CoordinationStep] = []
-        for shard in query.shards:
+        for shard in shards:
             asked = self._calls.ask_shard(query, shard, now_ms)
             steps += asked
             if asked:
                 steps += self._probe(query, shard, now_ms)
             elif not self._watch.park(query, shard, MissingReason.NO_REPLICA, now_ms):
-                self._resolve(query, shard, None, MissingReason.NO_REPLICA, now_ms)
+                steps += self._resolve(query, shard, None, MissingReason.NO_REPLICA, now_ms)
         self._watch.schedule(query, now_ms)
         self._arm_check(query)
-        return steps + self._end_if_done(query, now_ms)
+        return steps
 
     def _probe(self, query: OpenQuery, shard: ShardState, now_ms: float) -> list[CoordinationStep]:
         if not query.traffic_class.idempotent or not self._calls.has_suspects():
@@ -246,6 +306,8 @@
 
     def _end(self, query: OpenQuery, outcome: Outcome, now_ms: float) -> list[CoordinationStep]:
         del self._queries[query.request.request_id]
+        if isinstance(outcome, Answered) and outcome.coverage.is_whole:
+            self.guard.note_answered(query, now_ms)
         steps = self._calls.drop_query(query, now_ms)
         queued_ms = query.started_ms - query.request.arrived_ms
         return [
--- a/packages/geraniumlead/src/geraniumlead/peers/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peers/messages.py
@@ -111,11 +111,16 @@
 
 
 class QuarantineNotice(Struct, frozen=True, array_like=True, tag="quarantine"):
-    """Tell peers of a fingerprint that lost connections on several upstreams."""
+    """Tell peers of a fingerprint whose connections an upstream lost.
+
+    ``remaining_ms`` above 0 says that it is quarantined; else ``upstream_id`` names the
+    upstream of one strike.
+    """
 
     fingerprint: int
     strikes: int
     remaining_ms: float
+    upstream_id: str = ""
 
 
 class TicketedRequest(Struct, frozen=True, array_like=True, tag="ticketed_request"):
