--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,4 @@
 pages: setup
 	$(BIN)/python -m geraniumlead_server.callers.openapi > docs/reference/openapi.json
 	$(BIN)/geraniumlead schema --folder docs/reference/schemas
+	$(BIN)/python -m geraniumlead_standins.deployments
