Let views follow from documents and not from the order of their arrival

Fault: two contracts with one credential, or an upstream in two lists, were decided by whichever document an instance heard last, so instances disagreed. The first name wins everywhere; status names what contradicts.

--- a/packages/geraniumlead-client/src/geraniumlead_client/fleet_status.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/fleet_status.py
@@ -125,6 +125,8 @@
             age_ms = status["platform_age_ms"]
             if status["is_watcher"] and (age_ms is None or age_ms > OLD_CONFIGURATION_MS):
                 problems.append(f"{name} has not heard from the platform lately")
+            if names := status.get("ambiguous_names"):
+                problems.append(f"{name}: two documents contradict each other: {', '.join(names)}")
             for key, reason in status["refused_documents"].items():
                 problems.append(f"{name} refused {key}: {reason}")
         return problems
--- a/packages/geraniumlead-client/tests/client_tests/builders.py
+++ b/packages/geraniumlead-client/tests/client_tests/builders.py
@@ -75,7 +75,7 @@
 
     async def start() -> None:
         app = web.Application()
-        app.router.add_get("/{path:.*}", answer)
+        app.router.add_route("*", "/{path:.*}", answer)
         runner = web.AppRunner(app)
         await runner.setup()
         site = web.TCPSite(runner, "127.0.0.1", 0)
--- a/packages/geraniumlead-client/tests/client_tests/commands/test_status.py
+++ b/packages/geraniumlead-client/tests/client_tests/commands/test_status.py
@@ -67,6 +67,11 @@
         self.assertIn("noord-1 refused geraniumlead/contracts/acme: GL-C004", problems)
         self.assertIn("noord-1 has not heard from the platform lately", problems)
 
+    def test_documents_that_contradict_each_other_are_named(self):
+        code, output, _ = self.run_status(build_status(ambiguous_names=["acme", "beta"]))
+        self.assertEqual(code, 1)
+        self.assertIn("contradict each other: acme, beta", output)
+
     def test_instances_that_disagree_are_named(self):
         with (
             serve({"/v1/status": build_status()}) as first,
--- a/packages/geraniumlead/src/geraniumlead/configuration/cluster_view.py
+++ b/packages/geraniumlead/src/geraniumlead/configuration/cluster_view.py
@@ -19,6 +19,8 @@
 
     ``indexes`` maps a service to its serving index versions, newest first.
     ``customer_of_credential`` maps the digest of a bearer token to a customer.
+    ``ambiguous_names`` are customers that share a credential and upstreams of two lists; the
+    documents are right on their own, so they are in force, and status names them.
     """
 
     contracts: dict[str, ContractDocument] = field(default_factory=dict)
@@ -27,6 +29,7 @@
     indexes: dict[str, tuple[IndexDocument, ...]] = field(default_factory=dict)
     instances: dict[str, tuple[InstanceEntry, ...]] = field(default_factory=dict)
     customer_of_credential: dict[str, str] = field(default_factory=dict)
+    ambiguous_names: set[str] = field(default_factory=set)
 
     @classmethod
     def from_documents(cls, documents: list) -> "ClusterView":
@@ -43,18 +46,35 @@
             case ContractDocument():
                 self.contracts[document.customer] = document
                 for digest in document.credentials_sha256:
-                    self.customer_of_credential[digest] = document.customer
+                    self._tie_credential(digest, document.customer)
             case DataCentreDocument():
                 self.data_centres[document.name] = document
             case UpstreamListDocument():
                 for entry in document.upstreams:
-                    self.upstreams[entry.upstream_id] = PlacedUpstream(entry, document.data_centre)
+                    self._place(PlacedUpstream(entry, document.data_centre))
             case IndexDocument(state="serving"):
                 versions = self.indexes.get(document.service, ())
                 self.indexes[document.service] = (*versions, document)
             case InstanceListDocument():
                 self.instances[document.data_centre] = tuple(document.instances)
 
+    def _tie_credential(self, digest: str, customer: str) -> None:
+        other = self.customer_of_credential.get(digest)
+        if other not in (None, customer):
+            # Instances hear of the two contracts in different orders; the names are the same
+            # everywhere, so the first of them is no instance's own choice.
+            self.ambiguous_names |= {other, customer}
+            customer = min(other, customer)
+        self.customer_of_credential[digest] = customer
+
+    def _place(self, placed: PlacedUpstream) -> None:
+        upstream_id = placed.entry.upstream_id
+        other = self.upstreams.get(upstream_id)
+        if other is not None and other.data_centre != placed.data_centre:
+            self.ambiguous_names.add(upstream_id)
+            placed = min(other, placed, key=lambda item: item.data_centre)
+        self.upstreams[upstream_id] = placed
+
     def is_data_centre_in(self, name: str) -> bool:
         """Return whether operators let the data centre take new work."""
         document = self.data_centres.get(name)
--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -129,6 +129,7 @@
             data_centres={name: found.state for name, found in view.data_centres.items()},
             is_watcher=self._configuration.watching,
             queued_requests=parts.admission.queued_requests,
+            ambiguous_names=tuple(sorted(view.ambiguous_names)),
             services=report_services(upstreams),
             upstreams=upstreams,
             view_unconfirmed_ms=(
--- a/packages/geraniumlead/src/geraniumlead/instance/status.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/status.py
@@ -21,6 +21,7 @@
     data_centres: dict[str, str]
     is_watcher: bool
     queued_requests: int = 0
+    ambiguous_names: tuple[str, ...] = ()
     services: dict[str, ServiceStatus] = field(default_factory=dict)
     upstreams: dict[str, UpstreamStatus] = field(default_factory=dict)
     view_unconfirmed_ms: float | None = None
