Announce large documents instead of sending them to every peer

Now: above 8 KB eight local peers are told, each fetches it once and tells as many others; a question for documents is not repeated to other senders within 300 ms.

--- a/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
@@ -1,16 +1,30 @@
 """Take documents from the platform and from peers."""
 
 from geraniumlead.actions import ReadPlatform, Report
-from geraniumlead.configuration import DivergenceWatch, StoreChange
+from geraniumlead.configuration import DivergenceWatch, QuestionGate, StoreChange
 from geraniumlead.documents import DocumentKind, document_key
 from geraniumlead.events import DocumentsReceived, PlatformSilent
 from geraniumlead.instance.call_handler import CallHandler
 from geraniumlead.instance.parts import InstanceParts
 from geraniumlead.membership import PlatformContact
 from geraniumlead.ownership import OwnerTable
-from geraniumlead.peers import DocumentsUpdate, DocumentsWanted, Goodbye, Heartbeat
+from geraniumlead.peers import (
+    ANY_NONCE,
+    DocumentsUpdate,
+    DocumentsWanted,
+    Goodbye,
+    Heartbeat,
+    Probe,
+)
 
 EVERYTHING = -1
+PUSHED_BYTES = 8_192
+"""Size of an update that is sent to every local peer. A larger one would lie in the memory of
+the sender once for each of them, and a newcomer's first read is the whole configuration."""
+
+ANNOUNCED_PEERS = 8
+"""Local peers that are told of a larger one; each fetches it once and tells as many others."""
+
 REREAD_INTERVAL_MS = 2_000.0
 """Least time between two reads that a watcher begins because a watch left a gap."""
 
@@ -23,6 +37,7 @@
         "_divergence",
         "_owners",
         "_parts",
+        "_questions",
         "_reread_ms",
         "contact",
         "watching",
@@ -33,6 +48,7 @@
         self._calls = calls
         self._divergence = DivergenceWatch()
         self._owners = OwnerTable(parts.store.view)
+        self._questions = QuestionGate()
         self._reread_ms = float("-inf")
         self.contact = PlatformContact(parts.random)
         self.watching = False
@@ -62,7 +78,7 @@
         )
         self._bring_into_force(change, now_ms)
         if change.taken:
-            self._push(DocumentsUpdate(store.revision, change.taken, held_revision))
+            self._spread(DocumentsUpdate(store.revision, change.taken, held_revision))
         if event.revision < store.revision:
             # An old copy of the platform: it is no sign that nothing newer was published.
             self._note_behind(event.revision, now_ms)
@@ -85,11 +101,21 @@
         )
         self._bring_into_force(change, now_ms)
         if message.revision > parts.store.revision:
-            parts.send(sender_id, DocumentsWanted(parts.store.revision))
+            self.ask(sender_id, message.revision, now_ms)
+        if not change.taken:
+            return
+        update = DocumentsUpdate(parts.store.revision, change.taken, held_revision)
         sender = parts.membership.peers.get(sender_id)
-        if change.taken and sender is not None and sender.data_centre != parts.settings.data_centre:
-            # What another data centre told reaches the own one by this instance alone.
-            self._push(DocumentsUpdate(parts.store.revision, change.taken, held_revision))
+        is_remote = sender is not None and sender.data_centre != parts.settings.data_centre
+        # What another data centre told reaches the own one by this instance alone, and what
+        # is large goes from peer to peer; the rest was sent to all by whoever had it first.
+        if is_remote or _size_of(update) > PUSHED_BYTES:
+            self._spread(update)
+
+    def ask(self, peer_id: str, revision: int, now_ms: float) -> None:
+        """Ask a peer for the documents up to its revision, unless that was asked just now."""
+        if self._questions.may_ask(revision, now_ms):
+            self._parts.send(peer_id, DocumentsWanted(self._parts.store.revision))
 
     def give_documents(self, sender_id: str, message: DocumentsWanted) -> None:
         """Send a peer the documents that it lacks."""
@@ -116,7 +142,7 @@
     def _compare(self, sender_id: str, heartbeat: Heartbeat, now_ms: float) -> None:
         parts, store = self._parts, self._parts.store
         if heartbeat.revision > store.revision:
-            parts.send(sender_id, DocumentsWanted(store.revision))
+            self.ask(sender_id, heartbeat.revision, now_ms)
             return
         # An age counts only together with the revision that was heard then.
         if heartbeat.platform_age_ms is not None:
@@ -128,9 +154,15 @@
             parts.actions.append(Report("configuration_diverged", fields, "error"))
             parts.send(sender_id, DocumentsWanted(EVERYTHING))
 
-    def _push(self, update: DocumentsUpdate) -> None:
-        for peer in self._parts.membership.local_peers():
-            self._parts.send(peer.entry.instance_id, update)
+    def _spread(self, update: DocumentsUpdate) -> None:
+        parts = self._parts
+        local = [peer.entry.instance_id for peer in parts.membership.local_peers()]
+        message: DocumentsUpdate | Probe = update
+        if _size_of(update) > PUSHED_BYTES:
+            local = parts.random.sample(local, min(ANNOUNCED_PEERS, len(local)))
+            message = Probe(ANY_NONCE, update.revision)
+        for instance_id in local:
+            parts.send(instance_id, message)
 
     def _note_behind(self, revision: int, now_ms: float) -> None:
         if now_ms - self._reread_ms < REREAD_INTERVAL_MS:
@@ -174,3 +206,7 @@
             self.watching = wanted
             number = parts.freshness.read_number
             parts.actions.append(ReadPlatform(wanted, stop=not wanted, read_number=number))
+
+
+def _size_of(update: DocumentsUpdate) -> int:
+    return sum(len(item.value or b"") for item in update.documents)
--- a/packages/geraniumlead/src/geraniumlead/instance/freshness_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/freshness_handler.py
@@ -6,7 +6,7 @@
 from geraniumlead.instance.configuration_handler import ConfigurationHandler
 from geraniumlead.instance.parts import InstanceParts
 from geraniumlead.instance.request_handler import RequestHandler
-from geraniumlead.peers import DocumentsWanted, Probe, ProbeReply
+from geraniumlead.peers import Probe, ProbeReply
 
 LOCAL_PROBES = 3
 REMOTE_PROBES = 2
@@ -45,20 +45,22 @@
         parts = self._parts
         parts.freshness.take_read(event.read_number, event.revision, parts.store.revision)
 
-    def answer_probe(self, sender_id: str, message: Probe) -> None:
-        """Tell a peer which configuration is in force here."""
+    def answer_probe(self, sender_id: str, message: Probe, now_ms: float) -> None:
+        """Tell a peer which configuration is in force here, and ask for one that is newer."""
         parts = self._parts
+        if message.revision > parts.store.revision:
+            self._configuration.ask(sender_id, message.revision, now_ms)
         is_fresh = parts.freshness.is_confirmed
         parts.send(sender_id, ProbeReply(message.nonce, parts.store.revision, is_fresh))
 
-    def take_reply(self, sender_id: str, message: ProbeReply) -> None:
+    def take_reply(self, sender_id: str, message: ProbeReply, now_ms: float) -> None:
         """Take in a peer's answer, and ask for what is news here."""
         parts = self._parts
         taken = parts.freshness.take_reply(
             sender_id, message.nonce, message.revision, message.is_fresh
         )
         if taken and (message.revision > parts.store.revision or parts.store.lacks_last_good):
-            parts.send(sender_id, DocumentsWanted(parts.store.revision))
+            self._configuration.ask(sender_id, message.revision, now_ms)
 
     def run(self, now_ms: float) -> None:
         """Ask another round when it is due, and release the held work once it may go."""
--- a/packages/geraniumlead/src/geraniumlead/instance/heartbeat_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/heartbeat_handler.py
@@ -4,14 +4,11 @@
 
 from geraniumlead.admission import EVERY_PEER
 from geraniumlead.instance.parts import InstanceParts
-from geraniumlead.peers import Heartbeat, Probe
+from geraniumlead.peers import ANY_NONCE, Heartbeat, Probe
 
 MOST_OWN_REPORTS = 16
 """Peers that get a beat because a share is lent to them, beyond those whose turn it is."""
 
-ANY_NONCE = 0
-"""The nonce of a probe whose answer only has to show that the peer lives."""
-
 
 class HeartbeatHandler:
     """Beat at a steady interval."""
--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -179,9 +179,9 @@
             case DocumentsUpdate():
                 self._configuration.take_update(sender_id, message, now_ms)
             case Probe():
-                self._freshness.answer_probe(sender_id, message)
+                self._freshness.answer_probe(sender_id, message, now_ms)
             case ProbeReply():
-                self._freshness.take_reply(sender_id, message)
+                self._freshness.take_reply(sender_id, message, now_ms)
             case _:
                 self._take_work(sender_id, message, now_ms)
 
--- a/packages/geraniumlead/src/geraniumlead/peers/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/peers/__init__.py
@@ -2,6 +2,7 @@
 
 from geraniumlead.peers.codec import decode_message, encode_message
 from geraniumlead.peers.messages import (
+    ANY_NONCE,
     CancelBatch,
     ContractDemand,
     DocumentsUpdate,
@@ -21,6 +22,7 @@
 )
 
 __all__ = [
+    "ANY_NONCE",
     "CancelBatch",
     "ContractDemand",
     "DocumentsUpdate",
--- a/packages/geraniumlead/src/geraniumlead/peers/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peers/messages.py
@@ -62,8 +62,15 @@
     above_revision: int
 
 
+ANY_NONCE = 0
+"""The nonce of a probe whose answer only has to show that the peer lives."""
+
+
 class Probe(Struct, frozen=True, array_like=True, tag="probe"):
-    """Ask a peer to answer at once; ``nonce`` ties the answer to this question."""
+    """Ask a peer to answer at once; ``nonce`` ties the answer to this question.
+
+    A peer that is behind ``revision`` asks the sender for the documents.
+    """
 
     nonce: int
     revision: int = 0
