--- a/packages/geraniumlead-standins/src/geraniumlead_standins/histories/plain_variants.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/histories/plain_variants.py
@@ -74,20 +74,19 @@
 @contextmanager
 def match_answers_in_order() -> Iterator[None]:
     """Where several calls are out at an upstream, give the newest answer to the next of them."""
-    original = QueryCoordinator.finish_call
+    original = QueryCoordinator._take_answer
     kept: dict[tuple[int, str], Records] = {}
 
-    def finish_call(self, call_id, answer, now_ms):
-        call = self._calls.get(call_id)
-        if call is not None and isinstance(answer, Records):
+    def take_answer(self, call, answer, now_ms):
+        if isinstance(answer, Records):
             name = call.route.upstream_id
-            out = sum(1 for other in self._calls.values() if other.route.upstream_id == name)
+            has_others = any(True for _ in self._calls.queries_at(name))
             kept[id(self), name], previous = answer, kept.get((id(self), name))
-            if out > 1 and previous is not None:
+            if has_others and previous is not None:
                 answer = previous
-        return original(self, call_id, answer, now_ms)
+        return original(self, call, answer, now_ms)
 
-    with patch.object(QueryCoordinator, "finish_call", finish_call):
+    with patch.object(QueryCoordinator, "_take_answer", take_answer):
         yield
 
 
