--- a/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
@@ -325,6 +325,9 @@
         if not query.traffic_class.idempotent and not coverage.is_whole:
             if any(shard.call_ids for shard in query.shards):
                 return Unknown("the upstream did not answer in time")
+            if coverage.answered_shards:
+                # Refused by some shards, but others ran their part of it.
+                return Unknown("only some of the shards ran the request")
             return NotRun(RefusalReason.UPSTREAM_SHED, SHED_RETRY_AFTER_MS)
         if coverage.answered_shards == 0 or coverage.share < query.request.least_coverage:
             return Failed("too few shards answered", coverage)
--- a/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
@@ -36,29 +36,36 @@
             if not self.held.hold(request, now_ms):
                 self._refuse_held(request)
             return
-        tickets = self._parts.tickets
-        if request.ticket is not None:
-            if not tickets.is_own(request.ticket):
-                self._forward(request, now_ms)
-                return
-            outcome = tickets.claim(request, now_ms)
-            if outcome is not None:
-                self._calls.answer(request, outcome)
-                return
-            if tickets.join_running(request):
-                return
+        if request.ticket is not None and self._is_settled_by_ticket(request, now_ms):
+            return
         refusal = self.quarantine.refuse(request, now_ms)
         if refusal is not None:
             self._calls.answer(request, refusal)
             return
+        if request.ticket is not None:
+            # Before it may wait in the queue: a repeat that found the ticket unused would be
+            # queued beside it, and both would run in the end.
+            self._parts.tickets.start(request)
         match self._parts.admission.offer(request, now_ms):
             case Admitted():
                 self._start_query(request, now_ms)
             case Refused(reason=reason, retry_after_ms=retry_after_ms):
-                self._calls.answer(request, NotRun(reason, retry_after_ms))
+                self._refuse(request, NotRun(reason, retry_after_ms))
             case Queued():
                 pass
 
+    def _is_settled_by_ticket(self, request: CallerRequest, now_ms: float) -> bool:
+        """Forward, answer or join what may not run here; False when it may."""
+        tickets = self._parts.tickets
+        if not tickets.is_own(request.ticket or ""):
+            self._forward(request, now_ms)
+            return True
+        outcome = tickets.claim(request, now_ms)
+        if outcome is not None:
+            self._calls.answer(request, outcome)
+            return True
+        return tickets.join_running(request)
+
     def take_ready(self, now_ms: float) -> None:
         """Start or give up the requests whose wait is over."""
         for decision in self._parts.admission.take_ready(now_ms):
@@ -66,7 +73,7 @@
                 case Admitted(request=request):
                     self._start_query(request, now_ms)
                 case Refused(request=request, reason=reason, retry_after_ms=retry_after_ms):
-                    self._calls.answer(request, NotRun(reason, retry_after_ms))
+                    self._refuse(request, NotRun(reason, retry_after_ms))
 
     def release_held(self, now_ms: float) -> None:
         """Take the requests that waited for the view to be confirmed."""
@@ -97,6 +104,10 @@
             parts.actions.append(GiveTicket(event.request_id, None, 0.0, refusal))
             return
         ticket = parts.tickets.issue(event.customer, event.class_name, now_ms)
+        if ticket is None:
+            refusal = NotRun(RefusalReason.QUEUE_FULL, REFUSAL_RETRY_AFTER_MS)
+            parts.actions.append(GiveTicket(event.request_id, None, 0.0, refusal))
+            return
         valid_ms = parts.settings.timing.ticket_valid_ms
         parts.actions.append(GiveTicket(event.request_id, ticket, valid_ms))
 
@@ -132,7 +143,7 @@
         refusal = self.quarantine.refuse(request, now_ms)
         if refusal is not None:
             parts.admission.release(request.request_id, now_ms)
-            self._calls.answer(request, refusal)
+            self._refuse(request, refusal)
             return
         traffic_class = parts.class_of(request.customer, request.class_name)
         if traffic_class is None:
@@ -149,8 +160,6 @@
             # One such query would hold the loop, and all other callers with it.
             self._refuse_admitted(request, RefusalReason.FAN_OUT, now_ms)
             return
-        if request.ticket is not None:
-            parts.tickets.start(request)
         steps = parts.coordinator.start(request, traffic_class, plan, now_ms)
         self._calls.run_coordination(steps, now_ms)
 
@@ -162,4 +171,11 @@
         self, request: CallerRequest, reason: RefusalReason, now_ms: float
     ) -> None:
         self._parts.admission.release(request.request_id, now_ms)
-        self._calls.answer(request, NotRun(reason, REFUSAL_RETRY_AFTER_MS))
+        self._refuse(request, NotRun(reason, REFUSAL_RETRY_AFTER_MS))
+
+    def _refuse(self, request: CallerRequest, refusal: NotRun) -> None:
+        """Refuse a request whose ticket, if any, was started; it may be used again."""
+        self._calls.answer(request, refusal)
+        if request.ticket is not None:
+            for waiting in self._parts.tickets.finish(request, refusal):
+                self._calls.answer(waiting, refusal)
--- a/packages/geraniumlead/src/geraniumlead/instance/ticket_desk.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/ticket_desk.py
@@ -28,6 +28,7 @@
         "_instance_id",
         "_next_call",
         "_requests",
+        "_waiting",
     )
 
     def __init__(self, book: TicketBook, instance_id: str, incarnation: str) -> None:
@@ -37,6 +38,7 @@
         self._requests: dict[str, CallerRequest] = {}
         self._forwarded_out: dict[str, CallerRequest] = {}
         self._forwarded_in: dict[str, tuple[str, str]] = {}
+        self._waiting: dict[str, CallerRequest] = {}
         self._next_call = 0
 
     @classmethod
@@ -51,10 +53,15 @@
     @property
     def open_count(self) -> int:
         """Return how many requests wait here for a ticket's outcome."""
-        return len(self._requests) + len(self._forwarded_out) + len(self._forwarded_in)
+        return (
+            len(self._requests)
+            + len(self._waiting)
+            + len(self._forwarded_out)
+            + len(self._forwarded_in)
+        )
 
-    def issue(self, customer: str, class_name: str, now_ms: float) -> str:
-        """Return a new ticket."""
+    def issue(self, customer: str, class_name: str, now_ms: float) -> str | None:
+        """Return a new ticket; None when too many are remembered."""
         return self._book.issue(customer, class_name, now_ms)
 
     def issuer_of(self, ticket: str) -> str | None:
@@ -79,7 +86,7 @@
         if not self._book.is_running(request.ticket or ""):
             return False
         self._book.wait_for(request.ticket or "", request.request_id)
-        self._requests[request.request_id] = request
+        self._waiting[request.request_id] = request
         return True
 
     def start(self, request: CallerRequest) -> None:
@@ -91,11 +98,11 @@
         """Remember the outcome; return the repeats that get it too."""
         self._requests.pop(request.request_id, None)
         waiting = self._book.finish(request.ticket or "", outcome)
-        return [self._requests.pop(name) for name in waiting if name in self._requests]
+        return [self._waiting.pop(name) for name in waiting if name in self._waiting]
 
     def is_ticketed(self, request_id: str) -> bool:
         """Return whether an open request came with a ticket."""
-        return request_id in self._requests
+        return request_id in self._requests or request_id in self._waiting
 
     def forward(self, request: CallerRequest, now_ms: float) -> tuple[TicketedRequest, Outcome]:
         """Return the message for the issuer, and the outcome if it cannot be sent."""
@@ -153,16 +160,20 @@
 
     def expire(self, now_ms: float) -> list[tuple[CallerRequest, Outcome]]:
         """Return what no answer came for in time: forwarded requests and waiting repeats."""
-        late = [
-            (call_id, request)
-            for call_id, request in self._forwarded_out.items()
-            if request.deadline_ms <= now_ms
-        ]
-        for call_id, _ in late:
-            del self._forwarded_out[call_id]
-        outcome = Unknown("the instance that issued the ticket did not answer in time")
-        return [(request, outcome) for _, request in late]
+        silent = Unknown("the instance that issued the ticket did not answer in time")
+        running = Unknown("the request is still running")
+        ended = _take_late(self._forwarded_out, now_ms, silent)
+        # A repeat has a deadline of its own, which may come before the running request's.
+        return ended + _take_late(self._waiting, now_ms, running)
 
     def next_wake_ms(self) -> float | None:
-        """Return the earliest deadline of a forwarded request."""
-        return min((request.deadline_ms for request in self._forwarded_out.values()), default=None)
+        """Return the earliest deadline of a forwarded request or a waiting repeat."""
+        requests = (*self._forwarded_out.values(), *self._waiting.values())
+        return min((request.deadline_ms for request in requests), default=None)
+
+
+def _take_late(
+    requests: dict[str, CallerRequest], now_ms: float, outcome: Outcome
+) -> list[tuple[CallerRequest, Outcome]]:
+    late = [name for name, request in requests.items() if request.deadline_ms <= now_ms]
+    return [(requests.pop(name), outcome) for name in late]
--- a/packages/geraniumlead/src/geraniumlead/tickets/ticket_book.py
+++ b/packages/geraniumlead/src/geraniumlead/tickets/ticket_book.py
@@ -14,6 +14,10 @@
 
 SERIAL_BITS = 64
 
+MOST_TICKETS = 50_000
+"""Tickets remembered at once. Asking for one costs a caller nothing, so without a bound one
+caller could fill the memory; docs/design/at-most-once.md has the bytes of one."""
+
 
 class TicketBook:
     """Issue tickets and let each one run once.
@@ -38,9 +42,11 @@
         """Return the number of remembered tickets."""
         return len(self._records)
 
-    def issue(self, customer: str, class_name: str, now_ms: float) -> str:
-        """Return the text of a new ticket for one request of the class."""
+    def issue(self, customer: str, class_name: str, now_ms: float) -> str | None:
+        """Return the text of a new ticket for one request of the class, None when full."""
         self._forget(now_ms)
+        if len(self._records) >= MOST_TICKETS:
+            return None
         serial = f"{self._random.getrandbits(SERIAL_BITS):016x}"
         text = TicketName(self._instance_id, self._incarnation, serial).to_text()
         self._records[text] = TicketRecord(
--- a/packages/geraniumlead/tests/core_tests/coordination/test_booking_on_other_version.py
+++ b/packages/geraniumlead/tests/core_tests/coordination/test_booking_on_other_version.py
@@ -29,3 +29,22 @@
         run.queue.run_until(6_000.0)
         self.assertEqual(1, sum(upstream.received for upstream in run.upstreams.values()))
         self.assertIsInstance(outcomes[0].outcome, Unknown)
+
+
+class BookingOfManyShardsTests(TestCase):
+    """A booking without a key goes to every shard. One upstream sheds it and the other runs
+    it; the caller was told "not run", since nothing was out any more, booked anew, and the
+    shard that had run it ran it twice."""
+
+    def test_a_part_that_ran_is_not_called_not_run(self):
+        cluster = SmallCluster.from_size(ClusterSize(instances=1, shards=2, replicas=1), seed=1)
+        run, outcomes = cluster.run, []
+        run.on_answer = lambda name, action, now_ms: outcomes.append(action)
+        run.queue.run_until(5_000.0)
+        next(iter(run.upstreams.values())).is_draining = True
+        run.deliver("noord-0", TicketAsked("t", "acme", "booking"))
+        ticket = outcomes.pop().ticket
+        request = CallerRequest("r", "acme", "booking", b"{}", 5_000.0, 5_500.0, 1.0, ticket=ticket)
+        run.deliver("noord-0", QueryArrived(request))
+        run.queue.run_until(6_000.0)
+        self.assertIsInstance(outcomes[0].outcome, Unknown)
--- /dev/null
+++ b/packages/geraniumlead/tests/core_tests/tickets/__init__.py
@@ -0,0 +1,1 @@
+"""Test the tickets."""
