--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -129,6 +129,7 @@
             data_centres={name: found.state for name, found in view.data_centres.items()},
             is_watcher=self._configuration.watching,
             queued_requests=parts.admission.queued_requests,
+            ambiguous_names=tuple(sorted(view.ambiguous_names)),
             services=report_services(upstreams),
             upstreams=upstreams,
             view_unconfirmed_ms=(
@@ -165,6 +166,9 @@
                     self.parts.admission.observe_wall_clock(wall_now_s, now_ms)
 
     def _take_message(self, sender_id: str, message: PeerMessage, now_ms: float) -> None:
+        if sender_id not in self.parts.membership.peers:
+            # Nothing can be sent back to it, so work for it would be for nobody.
+            return
         self.parts.membership.note_heard(sender_id, now_ms)
         match message:
             case Heartbeat() | Goodbye():
@@ -176,9 +180,9 @@
             case DocumentsUpdate():
                 self._configuration.take_update(sender_id, message, now_ms)
             case Probe():
-                self._freshness.answer_probe(sender_id, message)
+                self._freshness.answer_probe(sender_id, message, now_ms)
             case ProbeReply():
-                self._freshness.take_reply(sender_id, message)
+                self._freshness.take_reply(sender_id, message, now_ms)
             case _:
                 self._take_work(sender_id, message, now_ms)
 
