Soak real processes under random failure and check their history

The upstream stand-in writes starts, ends, runs and turns, honours X-Remaining-Ms, and can crash on a query, fall silent or answer from a newer version.

--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run real processes under random failure and check the history."""
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/soak/fleet.py
@@ -0,0 +1,90 @@
+"""Start, stop, freeze and kill the processes of a soak, and note each change."""
+
+import asyncio
+import signal
+import sys
+from asyncio.subprocess import Process
+
+from geraniumlead_standins.history import HistoryWriter
+from geraniumlead_standins.soak.layout import DATA_CENTRES, Layout
+
+STOP_TIMEOUT_S = 35.0
+
+
+class Fleet:
+    """Hold the processes that this soak started, and end just those."""
+
+    def __init__(self, layout: Layout) -> None:
+        self._layout = layout
+        self.history = HistoryWriter(layout.history_file("faults"), "faults")
+        self._others: list[Process] = []
+        self._instances: dict[str, Process] = {}
+        self._lives: dict[str, int] = {}
+        self._frozen: set[str] = set()
+
+    async def start_surroundings(self) -> None:
+        """Start the platform and the upstreams."""
+        folder = self._layout.folder
+        documents = str(folder / "documents.json")
+        platform = ("--listen", self._layout.platform, "--documents", documents)
+        self._others.append(await self._start("platform", "platform", *platform))
+        for place in DATA_CENTRES:
+            plan = str(folder / f"upstreams-{place}.json")
+            self._others.append(await self._start(f"up-{place}", "upstream", "--plan", plan))
+
+    async def start_instance(self, name: str) -> None:
+        """Start an instance, or start it anew."""
+        settings = str(self._layout.folder / f"{name}.json")
+        self._instances[name] = await self._run(
+            name, "-m", "geraniumlead_server.main", "--settings", settings
+        )
+        self._lives[name] = self._lives.get(name, 0) + 1
+        self._note(name, "process_started")
+
+    def life_of(self, name: str) -> str:
+        """Return which start of an instance is running, as its incarnation."""
+        return str(self._lives.get(name, 0))
+
+    async def kill(self, name: str) -> None:
+        """Kill an instance without notice."""
+        self._instances[name].kill()
+        self._note(name, "process_killed")
+        await self._instances[name].wait()
+
+    async def freeze(self, name: str, duration_s: float) -> None:
+        """Stop an instance for a while."""
+        self._note(name, "frozen")
+        self._instances[name].send_signal(signal.SIGSTOP)
+        await asyncio.sleep(duration_s)
+        self._instances[name].send_signal(signal.SIGCONT)
+        self._note(name, "thawed")
+
+    async def stop(self, name: str) -> None:
+        """Ask an instance to stop, and wait for its end."""
+        self._note(name, "stop_asked")
+        self._instances[name].terminate()
+        try:
+            await asyncio.wait_for(self._instances[name].wait(), STOP_TIMEOUT_S)
+        except TimeoutError:
+            await self.kill(name)
+            return
+        self._note(name, "process_stopped")
+
+    async def end_all(self) -> None:
+        """End what is left."""
+        for process in (*self._instances.values(), *self._others):
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    def _note(self, name: str, event: str) -> None:
+        self.history.write(event, instance=name, incarnation=self.life_of(name))
+
+    async def _start(self, name: str, module: str, *arguments: str) -> Process:
+        return await self._run(name, "-m", f"geraniumlead_standins.{module}", *arguments)
+
+    async def _run(self, name: str, *arguments: str) -> Process:
+        with (self._layout.folder / f"{name}.log").open("ab") as log:
+            return await asyncio.create_subprocess_exec(
+                sys.executable, *arguments, stdout=log, stderr=log
+            )
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/upstream/app.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/upstream/app.py
@@ -5,12 +5,14 @@
 from random import Random
 
 from aiohttp import web
-from msgspec.json import decode
+from msgspec.json import decode, encode
 
 from geraniumlead_standins.history import HistoryWriter
 from geraniumlead_standins.upstream.server_plan import ServerPlan
 
 FALL_OVER_S = 2.0
+SILENT_S = 3_600.0
+CRASH_TEXT = b'"crash"'
 QUEUED_PER_SLOT = 8
 
 
@@ -26,6 +28,8 @@
         self._cold_answers_left = plan.cold_answers
         self._down_until_s = 0.0
         self.is_draining = False
+        self.is_silent = False
+        self.answers_newest = False
         self.slowdown = 1.0
 
     def build(self) -> web.Application:
@@ -37,43 +41,78 @@
     def turn_cold(self, answers: int) -> None:
         """Start cold again, without warning."""
         self._cold_answers_left = answers
+        self._history.write("turned_cold", allowance=self.plan.cold_allowance)
 
     async def _answer(self, request: web.Request) -> web.Response:
         body = decode(await request.read())
-        self._history.write(
-            "received", **{name: body[name] for name in ("call_id", "request_id", "shard")}
-        )
+        if asyncio.get_running_loop().time() < self._down_until_s:
+            request.transport.abort()
+            raise asyncio.CancelledError
+        self._note("received", body)
+        try:
+            return await self._take(request, body)
+        finally:
+            self._note("ended", body)
+
+    async def _take(self, request: web.Request, body: dict) -> web.Response:
         refusal = self._refuse(body, request)
         if refusal is not None:
             return refusal
         self._running += 1
         try:
-            async with self._slots:
-                await asyncio.sleep(self._draw_service_s())
+            remaining_s = float(request.headers.get("X-Remaining-Ms", "60000")) / 1000.0
+            async with asyncio.timeout(remaining_s):
+                async with self._slots:
+                    self._note("started", body)
+                    if CRASH_TEXT in encode(body["query"]):
+                        self._go_down("crashed", request, body)
+                    await asyncio.sleep(self._draw_service_s())
+        except TimeoutError:
+            return web.json_response({"error": "deadline"}, status=504)
         finally:
             self._running -= 1
-        return self._give_records(body)
+        answer = self._give_records(body)
+        if self.is_silent:
+            await asyncio.sleep(SILENT_S)
+        return answer
 
     def _refuse(self, body: dict, request: web.Request) -> web.Response | None:
-        now_s = asyncio.get_running_loop().time()
-        if now_s < self._down_until_s:
-            request.transport.abort()
-            raise asyncio.CancelledError
         if self.is_draining:
             return web.json_response({"error": "draining"}, status=503)
-        shards = self.plan.holds.get(str(body["index_version"]), [])
-        if body["shard"] not in shards:
+        if self._version_for(body) is None:
             held = sorted(int(version) for version in self.plan.holds)
             return web.json_response({"error": "wrong_version", "held_versions": held}, status=409)
         if self._cold_answers_left > 0 and self._running >= self.plan.cold_allowance:
-            self._history.write("fell_over", running=self._running)
-            self._down_until_s = now_s + FALL_OVER_S
-            request.transport.abort()
-            raise asyncio.CancelledError
+            self._go_down("fell_over", request, body)
         if self._running >= self.plan.slots * QUEUED_PER_SLOT:
             return web.json_response({"error": "shed", "retry_after_ms": 20}, status=503)
         return None
 
+    def _version_for(self, body: dict) -> int | None:
+        asked = body["index_version"]
+        if body["shard"] in self.plan.holds.get(str(asked), []):
+            return asked
+        held = [int(name) for name, shards in self.plan.holds.items() if body["shard"] in shards]
+        return max(held) if held and self.answers_newest else None
+
+    def _go_down(self, event: str, request: web.Request, body: dict) -> None:
+        self._note(event, body)
+        self._down_until_s = asyncio.get_running_loop().time() + FALL_OVER_S
+        request.transport.abort()
+        raise asyncio.CancelledError
+
+    def _note(self, event: str, body: dict, **fields) -> None:
+        query = body["query"]
+        self._history.write(
+            event,
+            call_id=body["call_id"],
+            request_id=body["request_id"],
+            instance=body["call_id"].split(".", 1)[0],
+            token=query.get("token", "") if isinstance(query, dict) else "",
+            shard=body["shard"],
+            **({"index_version": body["index_version"]} | fields),
+        )
+
     def _draw_service_s(self) -> float:
         drawn_ms = self._random.lognormvariate(math.log(self.plan.median_ms), self.plan.sigma)
         return drawn_ms * self.slowdown / 1000.0
@@ -81,11 +120,17 @@
     def _give_records(self, body: dict) -> web.Response:
         was_cold = self._cold_answers_left > 0
         self._cold_answers_left = max(0, self._cold_answers_left - 1)
-        version, shard = body["index_version"], body["shard"]
-        records = [{"id": f"v{version}-s{shard}", "upstream": self.plan.upstream_id}]
-        self._history.write(
-            "ran", call_id=body["call_id"], request_id=body["request_id"], query=body["query"]
-        )
+        if was_cold and not self._cold_answers_left:
+            self._history.write("turned_warm")
+        version, shard, query = self._version_for(body), body["shard"], body["query"]
+        record = {
+            "id": f"v{version}-s{shard}",
+            "upstream": self.plan.upstream_id,
+            "shard": shard,
+            "version": version,
+            "token": query.get("token", "") if isinstance(query, dict) else "",
+        }
+        self._note("ran", body, index_version=version, record_count=1)
         return web.json_response(
-            {"index_version": version, "shard": shard, "records": records, "cold": was_cold}
+            {"index_version": version, "shard": shard, "records": [record], "cold": was_cold}
         )
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/upstream/control.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/upstream/control.py
@@ -23,6 +23,9 @@
             server = self._servers[upstream_id]
             server.slowdown = faults.get("slowdown", server.slowdown)
             server.is_draining = faults.get("draining", server.is_draining)
+            server.is_silent = faults.get("silent", server.is_silent)
+            server.answers_newest = faults.get("answers_newest", server.answers_newest)
+            server.plan.holds = faults.get("holds", server.plan.holds)
             if "cold_answers" in faults:
                 server.turn_cold(faults["cold_answers"])
         return web.json_response({})
