--- a/packages/geraniumlead-standins/src/geraniumlead_standins/demo/__main__.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/demo/__main__.py
@@ -22,6 +22,12 @@
     parser.add_argument("--data-centres", type=int, default=3, help="2 suit a small machine")
     parser.add_argument("--duration-s", type=float, default=20.0)
     parser.add_argument("--load-factor", type=float, default=1.0)
+    parser.add_argument(
+        "--distinct-queries",
+        type=int,
+        default=200,
+        help="different lookups of each class; 0 makes every one new, which needs a canary each",
+    )
     parser.add_argument("--first-port", type=int, default=FIRST_PORT)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--kill", choices=["instance", "upstreams", "platform"])
@@ -42,6 +48,7 @@
         duration_s=arguments.duration_s,
         kill=arguments.kill,
         load_factor=arguments.load_factor,
+        distinct_queries=arguments.distinct_queries,
     )
 
 
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/demo/class_loads.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/demo/class_loads.py
@@ -19,7 +19,9 @@
 REPEAT_SHARE = 0.3
 
 
-def build_class_loads(deployment: Deployment, factor: float) -> list[ClassLoad]:
+def build_class_loads(
+    deployment: Deployment, factor: float, distinct_queries: int
+) -> list[ClassLoad]:
     """Return one load for each class of each contract."""
     return [
         ClassLoad(
@@ -29,6 +31,7 @@
             rate_per_s=REQUESTS_PER_S[traffic_class.name] * factor,
             deadline_ms=traffic_class.deadline_ms,
             ticketed=not traffic_class.idempotent,
+            distinct_queries=distinct_queries,
             repeat_share=0.0 if traffic_class.idempotent else REPEAT_SHARE,
         )
         for contract in deployment.contracts
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/demo/demo_plan.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/demo/demo_plan.py
@@ -23,6 +23,7 @@
     start_s: float = 4.0
     kill: str | None = None
     load_factor: float = 1.0
+    distinct_queries: int = 0
 
     @property
     def moved_data_centre(self) -> str:
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/demo/runner.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/demo/runner.py
@@ -90,7 +90,9 @@
             seed=self._plan.seed,
             addresses=[callers for callers, _, _ in self._addresses.instances.values()],
             duration_s=self._plan.start_s + self._plan.duration_s,
-            classes=build_class_loads(self._deployment, self._plan.load_factor),
+            classes=build_class_loads(
+                self._deployment, self._plan.load_factor, self._plan.distinct_queries
+            ),
             history=str(self._history(CALLERS)),
         )
         path = self._write("load", plan)
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/load/caller.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/load/caller.py
@@ -69,7 +69,7 @@
         sent.elapsed_ms = (time.monotonic_ns() - sent.sent_ns) / 1e6
 
     async def _send_idempotent(self, sent: SentRequest) -> str:
-        body = {"class": self._load.class_name, "query": {"text": sent.name}}
+        body = {"class": self._load.class_name, "query": {"text": self._draw_text(sent)}}
         address = self._balancer.choose()
         for _ in range(MOST_ATTEMPTS):
             outcome = await self._post(sent, address, body)
@@ -79,6 +79,10 @@
             address = self._balancer.choose(address)
         return "unanswered"
 
+    def _draw_text(self, sent: SentRequest) -> str:
+        distinct = self._load.distinct_queries
+        return f"member {self._random.randrange(distinct)}" if distinct else sent.name
+
     async def _send_ticketed(self, sent: SentRequest) -> str:
         issued = await self._fetch_ticket()
         if issued is None:
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/load/load_plan.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/load/load_plan.py
@@ -8,6 +8,8 @@
 
     ``ticketed`` requests get a ticket first and name one shard by their key.
     ``repeat_share`` of them are sent again through another instance while they run.
+    ``distinct_queries`` is the number of different texts of the others, 0 for a new one each
+    time: instances treat a query that they have seen before differently.
     """
 
     customer: str
@@ -17,6 +19,7 @@
     deadline_ms: int
     ticketed: bool = False
     repeat_share: float = 0.0
+    distinct_queries: int = 0
 
 
 class LoadPlan(Struct, kw_only=True, forbid_unknown_fields=True):
