--- a/packages/geraniumlead-standins/src/geraniumlead_standins/bench/load_run.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/load_run.py
@@ -11,6 +11,9 @@
 
 SETTLED_MS = 2_000.0
 
+QUERIES = 200
+"""Different queries in turn; all are proven within the first seconds."""
+
 
 @dataclass(slots=True, frozen=True)
 class Answer:
@@ -55,7 +58,7 @@
                 f"r{self.sent}",
                 CUSTOMER,
                 self.class_name,
-                b"{}",
+                b'{"member":%d}' % (self.sent % QUERIES),
                 now_ms,
                 now_ms + self.deadline_ms,
                 self.least_coverage,
--- a/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
@@ -3,6 +3,7 @@
 from geraniumlead.cold_start import ColdStartGuard, WarmthPhase
 from geraniumlead.cold_start.cold_start_guard import RECHECK_MS
 from geraniumlead.configuration.cluster_view import ClusterView
+from geraniumlead.dispatch.long_running import find_long_running
 from geraniumlead.dispatch.steps import DispatchStep, EndCall, StartCall, StopCall, TellOwners
 from geraniumlead.dispatch.upstream_gate import MOST_WAITING_PER_PLACE, UpstreamGate
 from geraniumlead.dispatch.waiting_call import WaitingCall
@@ -53,7 +54,7 @@
     ) -> list[DispatchStep]:
         """Take over a new view; calls that wait for a leaving upstream end as not run."""
         self._view, self._owners = view, owners
-        self._long = _find_long_running(view)
+        self._long = find_long_running(view)
         self._guard.update(view, owners, list_revision, now_ms)
         steps: list[DispatchStep] = []
         for upstream_id, gate in list(self._gates.items()):
@@ -73,8 +74,12 @@
         gate = self._gate_for(subquery.upstream_id)
         if gate is None or now_ms < gate.draining_until_ms:
             return [EndCall(origin, subquery.call_id, Draining())]
-        is_long = (subquery.customer, subquery.class_name) in self._long
+        is_long = bool(self._long) and (subquery.customer, subquery.class_name) in self._long
         call = WaitingCall(subquery, origin, now_ms + subquery.remaining_ms, is_long)
+        if not gate.waiting and not is_long and self._has_place(gate, now_ms):
+            # Most calls need not wait, and a query has more than a thousand.
+            self._calls[subquery.call_id] = (gate, call)
+            return [self._start(gate, call, subquery.remaining_ms, now_ms)]
         refusal = self._refuse(gate, call, now_ms)
         if refusal is not None:
             return [EndCall(origin, subquery.call_id, refusal)]
@@ -126,8 +131,9 @@
         gate = self._gates.get(upstream_id)
         if gate is None or not is_news:
             return []
-        steps = self._keep_within_allowance(gate, now_ms)
-        return [*self._tell_owners(gate, WarmthPhase.COLD), *steps]
+        # Calls under way end by themselves as lost. Cancelled here, as this may be heard
+        # first, a query that crashes its upstreams would never be seen to do so.
+        return self._tell_owners(gate, WarmthPhase.COLD)
 
     def note_told(self, upstream_id: str, phase: str, now_ms: float) -> list[DispatchStep]:
         """Take in what another owner saw of an upstream."""
@@ -174,6 +180,10 @@
             return False
         return self._guard.most_in_flight(gate.entry, gate.warm_limit, now_ms) > 0
 
+    def _has_place(self, gate: UpstreamGate, now_ms: float) -> bool:
+        most = self._guard.most_in_flight(gate.entry, gate.warm_limit, now_ms)
+        return len(gate.in_flight) < most and now_ms >= gate.limit.paused_until_ms
+
     def _refuse(
         self, gate: UpstreamGate, call: WaitingCall, now_ms: float
     ) -> UpstreamAnswer | None:
@@ -208,7 +218,8 @@
         told = self._guard.note_answer(gate.entry, answer, call.started_ms, warm_limit, now_ms)
         if told is None:
             return []
-        steps = self._keep_within_allowance(gate, now_ms) if told is WarmthPhase.COLD else []
+        is_alive = isinstance(answer, Records | Cold)
+        steps = self._keep_within_allowance(gate, now_ms) if is_alive else []
         return [*self._tell_owners(gate, told), *steps]
 
     def _tell_owners(self, gate: UpstreamGate, phase: WarmthPhase) -> list[DispatchStep]:
@@ -294,12 +305,3 @@
 
     def _end(self, call: WaitingCall, answer: UpstreamAnswer) -> EndCall:
         return EndCall(call.origin, call.subquery.call_id, answer)
-
-
-def _find_long_running(view: ClusterView) -> frozenset[tuple[str, str]]:
-    return frozenset(
-        (contract.customer, traffic_class.name)
-        for contract in view.contracts.values()
-        for traffic_class in contract.classes
-        if traffic_class.long_running
-    )
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/long_running.py
@@ -0,0 +1,13 @@
+"""Find the classes whose requests run long."""
+
+from geraniumlead.configuration.cluster_view import ClusterView
+
+
+def find_long_running(view: ClusterView) -> frozenset[tuple[str, str]]:
+    """Return customer and class name of each."""
+    return frozenset(
+        (contract.customer, traffic_class.name)
+        for contract in view.contracts.values()
+        for traffic_class in contract.classes
+        if traffic_class.long_running
+    )
--- a/packages/geraniumlead/src/geraniumlead/dispatch/waiting_queue.py
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/waiting_queue.py
@@ -5,8 +5,13 @@
 
 from geraniumlead.dispatch.waiting_call import WaitingCall
 
-FLOOR_INTERVAL = 10
-"""Every tenth place goes to the lowest class that waits, whatever waits above it."""
+FLOOR_INTERVAL = 100
+"""One place in a hundred goes to the lowest class that waits, whatever waits above it.
+
+Admission gives the lowest class its share of the service; this floor only keeps an admitted
+call from waiting for ever. It must be rare: a query waits for the latest of its shards, so at
+20 shards a floor of one in ten would hold up nearly every first-class query.
+"""
 
 Lane = tuple[int, bool]
 
@@ -16,8 +21,8 @@
 
     Load pattern: a steady surplus of a high class in front of one upstream. Without
     priorities it waits behind bulk work; without the floor the lowest class would wait for
-    ever, and its callers would send again. One place in ten bounds what the floor costs the
-    high classes. Long jobs have lanes of their own, since they may be passed over.
+    ever, and its callers would send again. Long jobs have lanes of their own, since they may
+    be passed over.
     """
 
     __slots__ = ("_lanes", "_length", "_popped")
--- /dev/null
+++ b/packages/geraniumlead/tests/core_tests/tail/test_latency_window.py
@@ -0,0 +1,44 @@
+"""Test how quickly quantiles follow a change."""
+
+from unittest import TestCase
+
+from geraniumlead.tail import LatencyWindow, StragglerClock
+from geraniumlead.tail.latency_window import LEAST_SAMPLES, WINDOW_MS
+
+
+def feed(window: LatencyWindow, latency_ms: float, start_ms: float, for_ms: float) -> float:
+    now_ms = start_ms
+    while now_ms < start_ms + for_ms:
+        window.record(latency_ms, now_ms)
+        now_ms += 5.0
+    return now_ms
+
+
+class LatencyWindowTests(TestCase):
+    def test_few_samples_give_no_quantile(self):
+        window = LatencyWindow(0.0)
+        for _ in range(LEAST_SAMPLES - 1):
+            window.record(4.0, 0.0)
+        self.assertIsNone(window.quantile_ms(0.98, 100.0))
+        window.record(4.0, 100.0)
+        self.assertAlmostEqual(4.0, window.quantile_ms(0.98, 200.0), delta=0.1)
+
+    def test_step_up_and_down_shows_within_two_windows(self):
+        window = LatencyWindow(0.0)
+        now_ms = feed(window, 4.0, 0.0, 2.0 * WINDOW_MS)
+        now_ms = feed(window, 40.0, now_ms, 2.0 * WINDOW_MS)
+        self.assertAlmostEqual(40.0, window.quantile_ms(0.5, now_ms), delta=1.0)
+        now_ms = feed(window, 4.0, now_ms, 2.0 * WINDOW_MS)
+        self.assertAlmostEqual(4.0, window.quantile_ms(0.99, now_ms), delta=0.1)
+
+    def test_samples_from_before_a_pause_are_forgotten(self):
+        window = LatencyWindow(0.0)
+        feed(window, 4.0, 0.0, WINDOW_MS - 10.0)
+        self.assertIsNone(window.quantile_ms(0.5, 3.0 * WINDOW_MS))
+
+    def test_hedge_delay_leaves_just_the_budget_above_it(self):
+        clock = StragglerClock()
+        for number in range(1_000):
+            clock.record("ledger", 1.0 + number / 100.0, 0.0)
+        self.assertAlmostEqual(10.8, clock.delay_ms("ledger", 0.02, 100.0), delta=0.2)
+        self.assertIsNone(clock.delay_ms("archive", 0.02, 100.0))
