--- a/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
@@ -134,6 +134,11 @@
         match answer:
             case Records() if self._is_of_plan(query, shard, answer):
                 return self._resolve(query, shard, answer.records, None, now_ms)
+            case Records() if not query.traffic_class.idempotent:
+                # It ran on another version than asked for. To try the next replica, as with
+                # a query that only reads, would run it twice.
+                outcome = Unknown("the upstream ran the request on another index version")
+                return self._end(query, outcome, now_ms)
             case Records() | WrongVersion():
                 return self._retire_replica(call, now_ms)
             case _ if not query.traffic_class.idempotent and not isinstance(answer, SURELY_NOT_RUN):
@@ -235,6 +240,9 @@
     def _park(
         self, query: OpenQuery, shard: ShardState, reason: MissingReason, now_ms: float
     ) -> bool:
+        if query.canary is not None and self.guard.is_suspected(query):
+            # Both replicas may be down for its sake; to wait for them would hold a place.
+            return False
         armed_ms = query.check_ms
         if not self._watch.park(query, shard, reason, now_ms):
             return False
@@ -257,7 +265,7 @@
             steps += asked
             if asked:
                 steps += self._probe(query, shard, now_ms)
-            elif not self._watch.park(query, shard, MissingReason.NO_REPLICA, now_ms):
+            elif not self._park(query, shard, MissingReason.NO_REPLICA, now_ms):
                 steps += self._resolve(query, shard, None, MissingReason.NO_REPLICA, now_ms)
         self._watch.schedule(query, now_ms)
         self._arm_check(query)
--- a/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
@@ -4,22 +4,25 @@
 from geraniumlead.cold_start.cold_start_guard import RECHECK_MS
 from geraniumlead.configuration.cluster_view import ClusterView
 from geraniumlead.dispatch.long_running import find_long_running
+from geraniumlead.dispatch.refusal import SHED_RETRY_AFTER_MS, refuse_call
 from geraniumlead.dispatch.steps import DispatchStep, EndCall, StartCall, StopCall, TellOwners
 from geraniumlead.dispatch.upstream_gate import MOST_WAITING_PER_PLACE, UpstreamGate
 from geraniumlead.dispatch.waiting_call import WaitingCall
 from geraniumlead.ownership.owners import OwnerTable
-from geraniumlead.upstreams.answers import Cold, Draining, Records, Shed, TimedOut, UpstreamAnswer
+from geraniumlead.upstreams.answers import (
+    Cold,
+    ConnectionLost,
+    Draining,
+    Records,
+    Shed,
+    TimedOut,
+    UpstreamAnswer,
+)
 from geraniumlead.upstreams.subquery import Subquery
 
-SHED_RETRY_AFTER_MS = 50.0
-
 DRAINING_MS = 5_000.0
 """Time for which an upstream that said it drains gets nothing; the list says so by then."""
 
-OVERDUE_FACTOR = 20.0
-LEAST_OVERDUE_MS = 100.0
-"""An answer later than twenty mean service times may be on a connection that went silent."""
-
 
 class Dispatcher:
     """Start, queue, cancel and end calls to the upstreams that this instance owns.
@@ -66,7 +69,7 @@
                 if not gate.in_flight:
                     del self._gates[upstream_id]
             else:
-                steps += self._keep_within_allowance(gate, now_ms)
+                steps += self._keep_within_allowance(gate, Cold(), now_ms)
         return steps
 
     def submit(self, subquery: Subquery, origin: str | None, now_ms: float) -> list[DispatchStep]:
@@ -80,7 +83,7 @@
             # Most calls need not wait, and a query has more than a thousand.
             self._calls[subquery.call_id] = (gate, call)
             return [self._start(gate, call, subquery.remaining_ms, now_ms)]
-        refusal = self._refuse(gate, call, now_ms)
+        refusal = refuse_call(gate, call, self._guard, now_ms)
         if refusal is not None:
             return [EndCall(origin, subquery.call_id, refusal)]
         steps: list[DispatchStep] = []
@@ -131,9 +134,8 @@
         gate = self._gates.get(upstream_id)
         if gate is None or not is_news:
             return []
-        # Calls under way end by themselves as lost. Cancelled here, as this may be heard
-        # first, a query that crashes its upstreams would never be seen to do so.
-        return self._tell_owners(gate, WarmthPhase.COLD)
+        steps = self._keep_within_allowance(gate, ConnectionLost("closed"), now_ms)
+        return [*self._tell_owners(gate, WarmthPhase.COLD), *steps]
 
     def note_told(self, upstream_id: str, phase: str, now_ms: float) -> list[DispatchStep]:
         """Take in what another owner saw of an upstream."""
@@ -143,7 +145,8 @@
         gate = self._gates.get(upstream_id)
         if gate is None:
             return []
-        return [*self._keep_within_allowance(gate, now_ms), *self._start_waiting(gate, now_ms)]
+        steps = self._keep_within_allowance(gate, Cold(), now_ms)
+        return [*steps, *self._start_waiting(gate, now_ms)]
 
     def wake(self, now_ms: float) -> list[DispatchStep]:
         """Start what waited for a time to come."""
@@ -184,21 +187,6 @@
         most = self._guard.most_in_flight(gate.entry, gate.warm_limit, now_ms)
         return len(gate.in_flight) < most and now_ms >= gate.limit.paused_until_ms
 
-    def _refuse(
-        self, gate: UpstreamGate, call: WaitingCall, now_ms: float
-    ) -> UpstreamAnswer | None:
-        entry, remaining_ms = gate.entry, call.subquery.remaining_ms
-        if call.long_running and gate.long_places == 0:
-            return Shed(SHED_RETRY_AFTER_MS)
-        if self._guard.takes_load(entry.upstream_id, now_ms):
-            wait_ms = gate.estimate_wait_ms(call, gate.warm_limit)
-            in_time = gate.can_end_in_time(wait_ms, remaining_ms)
-            return None if in_time else Shed(SHED_RETRY_AFTER_MS)
-        if not self._guard.holds_slot(entry):
-            return Cold()
-        wait_ms = max(self._guard.ready_ms(entry) - now_ms, 0.0) + gate.estimate_wait_ms(call, 1)
-        return None if gate.can_end_in_time(wait_ms, remaining_ms) else Cold()
-
     def _learn(
         self, gate: UpstreamGate, call: WaitingCall, answer: UpstreamAnswer, now_ms: float
     ) -> list[DispatchStep]:
@@ -218,9 +206,11 @@
         told = self._guard.note_answer(gate.entry, answer, call.started_ms, warm_limit, now_ms)
         if told is None:
             return []
-        is_alive = isinstance(answer, Records | Cold)
-        steps = self._keep_within_allowance(gate, now_ms) if is_alive else []
-        return [*self._tell_owners(gate, told), *steps]
+        tell = self._tell_owners(gate, told)
+        if told is not WarmthPhase.COLD:
+            return tell
+        ended = answer if isinstance(answer, ConnectionLost) else Cold()
+        return [*tell, *self._keep_within_allowance(gate, ended, now_ms)]
 
     def _tell_owners(self, gate: UpstreamGate, phase: WarmthPhase) -> list[DispatchStep]:
         upstream_id = gate.entry.upstream_id
@@ -228,10 +218,14 @@
         others = tuple(name for name in owners if name != self._instance_id)
         return [TellOwners(upstream_id, others, phase)] if others else []
 
-    def _keep_within_allowance(self, gate: UpstreamGate, now_ms: float) -> list[DispatchStep]:
+    def _keep_within_allowance(
+        self, gate: UpstreamGate, ended: UpstreamAnswer, now_ms: float
+    ) -> list[DispatchStep]:
         """Cancel what a cold upstream can't bear: all but the first call of a slot holder.
 
-        A non-idempotent call goes on: cut off, its outcome would be unknown for ever.
+        A non-idempotent call goes on: cut off, its outcome would be unknown for ever. The
+        others end with ``ended``: calls whose upstream closed its connections are lost, as
+        one of them may have crashed it, and has to be held against its request.
         """
         entry = gate.entry
         if self._guard.takes_load(entry.upstream_id, now_ms):
@@ -244,7 +238,7 @@
             call_id = call.subquery.call_id
             gate.note_ended(call)
             del self._calls[call_id]
-            steps += [StopCall(call_id), self._end(call, Cold())]
+            steps += [StopCall(call_id), self._end(call, ended)]
         return steps
 
     def _gate_for(self, upstream_id: str) -> UpstreamGate | None:
@@ -288,7 +282,7 @@
         if call.subquery.idempotent:
             upstream_id = gate.entry.upstream_id
             remaining_ms = self._guard.bound_call_ms(upstream_id, remaining_ms, now_ms)
-            overdue_ms = max(LEAST_OVERDUE_MS, OVERDUE_FACTOR * gate.service_ms)
+            overdue_ms = gate.overdue_ms
         return StartCall(call.subquery, gate.entry, remaining_ms, gate.connections, overdue_ms)
 
     def _arm(self, gate: UpstreamGate, now_ms: float) -> None:
