--- a/packages/geraniumlead/src/geraniumlead/admission/concurrency_limit.py
+++ b/packages/geraniumlead/src/geraniumlead/admission/concurrency_limit.py
@@ -23,10 +23,10 @@
 PROBE_SHARE = 0.25
 FIRST_PROBE_MS = 500.0
 MOST_PROBE_MS = 15_000.0
-NEWS_SHARE = 0.9
+NEWS_SHARE = 0.8
 """Under lasting load nobody sees the unloaded latency; a quarter of the limit, well below
 the concurrency that fills the upstreams, shows it within one window. A probe that finds less
-than nine tenths of the known latency is news, and the next one follows soon; each that finds
+than four fifths of the known latency is news, and the next one follows soon; each that finds
 none doubles the time, up to one window in 150, at half a percent of the capacity."""
 
 LEAST_LATENCY_MS = 0.001
@@ -137,15 +137,23 @@
             mean_ms = max(LEAST_LATENCY_MS, sum(latencies) / len(latencies))
             known_ms = self._baselines.get(kind, mean_ms)
             news = min(news, mean_ms / known_ms)
-            if mean_ms < known_ms:
-                known_ms += (1.0 if self._probing else 0.3) * (mean_ms - known_ms)
-            elif is_light:
-                known_ms += 0.1 * (mean_ms - known_ms)
+            known_ms += self._weight_of(mean_ms / known_ms, is_light) * (mean_ms - known_ms)
             self._baselines[kind] = known_ms
             weighted += len(latencies) * mean_ms / known_ms
         self._latencies = {}
         return weighted / self._samples, news
 
+    def _weight_of(self, ratio: float, is_light: bool) -> float:
+        """Return the weight of a window's mean in the unloaded latency.
+
+        A probe shows it, so its mean counts in both directions, or the smallest of many
+        scattered means would win and the limit would sink. Of a loaded window only a lower
+        mean is news.
+        """
+        if self._probing:
+            return 1.0 if ratio < NEWS_SHARE else 0.3
+        return 0.1 if ratio < 1.0 or is_light else 0.0
+
     def _adapt(self, ratio: float, was_full: bool) -> None:
         step = min(MOST_GROWTH, max(MOST_SHRINK, TOLERANCE / ratio))
         if step > 1.0 and not was_full:
