--- a/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/coordinator.py
@@ -106,7 +106,7 @@
                 continue
             if query.request.deadline_ms <= now_ms:
                 steps += self._end(query, self._outcome_of(query), now_ms)
-            elif query.canary is not None and self.guard.is_quarantined(query, now_ms):
+            elif self._is_hopeless_canary(query, now_ms):
                 steps += self._give_up_canary(query, now_ms)
             elif query.check_ms <= now_ms:
                 steps += self._watch.check(query, now_ms)
@@ -194,6 +194,12 @@
         query.unresolved -= len(others)
         return []
 
+    def _is_hopeless_canary(self, query: OpenQuery, now_ms: float) -> bool:
+        # A non-idempotent call that is out may run: cut off, "not run" would be a lie.
+        if query.canary is None or not query.traffic_class.idempotent:
+            return False
+        return self.guard.is_quarantined(query, now_ms)
+
     def _give_up_canary(self, query: OpenQuery, now_ms: float) -> list[CoordinationStep]:
         assert query.canary is not None
         first = query.shards[query.canary.place]
