Ask more peers at once when questions are lost

The new test at 60 instances failed first. Each time that all questions were lost, twice as many go.

--- a/packages/geraniumlead-standins/tests/standins_tests/membership/test_spread.py
+++ b/packages/geraniumlead-standins/tests/standins_tests/membership/test_spread.py
@@ -81,6 +81,20 @@
             recorded.run_for(IN_FORCE_MS)
             self.assertEqual({77.0}, rates_in_force(recorded))
 
+    def test_in_force_in_time_in_a_large_data_centre_when_half_of_the_messages_are_lost(self):
+        """Questions and their answers are lost too, three of four together.
+
+        An instance that asks one peer in each beat has a chance of one in four each time;
+        among 60 there is always one that is unlucky for six seconds.
+        """
+        recorded = RecordedCluster.from_size(ClusterSize(instances=60, shards=1))
+        recorded.run_for(SETTLED_MS)
+        recorded.run.link.loss = 0.5
+        for rate in (71.0, 72.0, 73.0):
+            recorded.run.publish({CONTRACT_KEY: contract_value(rate)})
+            recorded.run_for(IN_FORCE_MS)
+            self.assertEqual({rate}, rates_in_force(recorded))
+
     def test_reads_stay_within_the_budget_while_the_platform_is_down(self):
         recorded = build_settled()
         recorded.run.platform.is_down = True
--- a/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/configuration_handler.py
@@ -114,7 +114,7 @@
 
     def ask(self, peer_id: str, revision: int, now_ms: float) -> None:
         """Ask a peer for the documents up to its revision, unless that was asked just now."""
-        if self._questions.may_ask(revision, now_ms):
+        if self._questions.may_ask(self._parts.store.revision, revision, now_ms):
             self._parts.send(peer_id, DocumentsWanted(self._parts.store.revision))
 
     def give_documents(self, sender_id: str, message: DocumentsWanted) -> None:
