Prefer owners in the coordinator's own order, and measure an owner's part by itself

Cause: a random pick among six owners spread each batching tick over 225 of 227 peers, and looked up the reachability of all six for each subquery. Ruled out: a set cover for each query (76 peers, but a search for each view and uneven load).

--- a/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/decision_cpu.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/decision_cpu.py
@@ -3,12 +3,15 @@
 import gc
 from time import process_time
 
-from geraniumlead.events import QueryArrived, TimerFired
+from geraniumlead.events import PeerMessageReceived, QueryArrived, TimerFired
+from geraniumlead.peers import SubqueryBatch
 from geraniumlead.requests import Answered, CallerRequest, NotRun
+from geraniumlead.upstreams import Subquery
 from geraniumlead_standins.capacity.decision_cluster import build_driver
 from geraniumlead_standins.capacity.echo_driver import EchoDriver
 
 FAN_OUTS = (20, 100, 200, 600, 1200)
+BATCH_SIZES = (10, 50, 100, 200, 400)
 SUBQUERIES_A_POINT = 24_000
 WARM_UP_QUERIES = 12
 OWNERS_FOR_REMOTE = 24
@@ -27,6 +30,11 @@
     ]
 
 
+def measure_owner() -> list[tuple[float, float]]:
+    """Return microseconds that an owner spends on a peer's batch, by its subqueries."""
+    return [(float(size), _time_batches(size)) for size in BATCH_SIZES]
+
+
 def measure_refused() -> float:
     """Return microseconds of decision for a request that is refused."""
     driver = build_driver(20)
@@ -70,6 +78,43 @@
     return spent_s / count * 1e6
 
 
+def _time_batches(size: int) -> float:
+    # Two instances own every upstream, so the other one may send a batch for all of them.
+    driver = build_driver(size, 2)
+    for number in range(WARM_UP_QUERIES):
+        _run_query(driver, f"w{number}")
+        driver.advance(100.0)
+    count = max(20, SUBQUERIES_A_POINT // size)
+    batches = [_build_batch(size, number) for number in range(count)]
+    gc.collect()
+    started = process_time()
+    for batch in batches:
+        driver.feed(PeerMessageReceived("noord-1", batch))
+        driver.now_ms += driver.instance.parts.settings.timing.batch_tick_ms
+        driver.feed(TimerFired())
+    return (process_time() - started) / count * 1e6
+
+
+def _build_batch(size: int, number: int) -> SubqueryBatch:
+    return SubqueryBatch(
+        tuple(
+            Subquery(
+                call_id=f"noord-1.life.{number}.{shard}",
+                request_id=f"r{number}",
+                upstream_id=f"lookup-{shard}",
+                service="lookup",
+                index_version=1,
+                shard=shard,
+                remaining_ms=10_000.0,
+                query=b'{"text":"member"}',
+                customer="customer-0",
+                class_name="lookup",
+            )
+            for shard in range(size)
+        )
+    )
+
+
 def _is_whole(outcome) -> bool:
     return isinstance(outcome, Answered) and outcome.coverage.is_whole
 
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/node_costs.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/node_costs.py
@@ -52,7 +52,9 @@
         # Subqueries out, results back, and the same for what others send to this owner.
         messages = 4.0 * reached * TICKS_PER_S
         remote_us = slopes["remote_query"]["slope"]
-        local_us = slopes["local_query"]["slope"]
+        owner_us = slopes["owner_batch"]["slope"]
+        # Where every instance owns every upstream, one state machine plays both parts.
+        both_us = slopes["local_query"]["slope"] if remote_share <= 0 else remote_us
         coding_us = slopes["coding_subquery"]["slope"] + slopes["coding_result"]["slope"]
         call_us = slopes["upstream_call"]["slope"]
         per_server = size.queries_per_s * size.shards_per_query / size.servers
@@ -65,8 +67,8 @@
             / size.nodes_per_data_centre,
             peers_per_tick=reached,
             messages_per_s=messages,
-            coordinator_cores=subqueries * remote_us / MICROSECONDS_PER_S,
-            owner_cores=subqueries * max(0.0, local_us - remote_us) / MICROSECONDS_PER_S,
+            coordinator_cores=subqueries * both_us / MICROSECONDS_PER_S,
+            owner_cores=subqueries * remote_share * owner_us / MICROSECONDS_PER_S,
             message_cores=(
                 messages * slopes["message"]["intercept"] / 2.0
                 + 2.0 * subqueries * remote_share * coding_us / 2.0
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/page.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/page.py
@@ -16,6 +16,7 @@
 SLOPE_NAMES = (
     ("local_query", "decisions, own upstream"),
     ("remote_query", "decisions, peer's upstream"),
+    ("owner_batch", "decisions, owner for a peer"),
     ("instance_query", "whole instance, real processes"),
     ("upstream_call", "bare HTTP call to an upstream"),
     ("coding_subquery", "encode and decode a subquery"),
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/record.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/record.py
@@ -7,6 +7,7 @@
 from geraniumlead_standins.capacity.batch_spread import measure_spread
 from geraniumlead_standins.capacity.decision_cpu import (
     measure_local_query,
+    measure_owner,
     measure_refused,
     measure_remote_query,
 )
@@ -34,6 +35,7 @@
     slopes = {
         "local_query": build_slope("us", "shard", measure_local_query()),
         "remote_query": build_slope("us", "shard", measure_remote_query()),
+        "owner_batch": build_slope("us", "subquery", measure_owner()),
     }
     record["refused_us"] = round(measure_refused(), 2)
     tell("messages")
@@ -44,7 +46,7 @@
     slopes["message"] = build_slope("us", "byte", measure_transport())
     tell("memory")
     for name, points in measure_state_memory().items():
-        slopes[name] = build_slope("bytes", name, points)
+        slopes[name] = build_slope("bytes", name.replace("open_shard", "shard"), points)
     tell("owners and batches")
     record["ownership_moves"] = measure_moves()
     record["batch_spread"] = measure_spread()
--- a/packages/geraniumlead/src/geraniumlead/routing/replica.py
+++ b/packages/geraniumlead/src/geraniumlead/routing/replica.py
@@ -24,11 +24,13 @@
     """Hold the in-band signals of one upstream, and how it is reached.
 
     Published health and load figures have no place here: they lag, and an upstream that
-    reports itself idle would draw all load.
+    reports itself idle would draw all load. ``owners`` are in the order in which they hold
+    cold slots, ``ranked_owners`` in the order in which this instance prefers them.
     """
 
     upstream_id: str
     owners: tuple[str, ...]
+    ranked_owners: tuple[str, ...]
     is_own: bool
     in_flight: int = 0
     latency_ms: float = 0.0
--- a/packages/geraniumlead/src/geraniumlead/routing/router.py
+++ b/packages/geraniumlead/src/geraniumlead/routing/router.py
@@ -9,6 +9,7 @@
 from geraniumlead.dispatch.upstream_gate import count_long_places
 from geraniumlead.membership.membership import Membership
 from geraniumlead.ownership.owners import OwnerTable
+from geraniumlead.ownership.rendezvous import rank_by_rendezvous
 from geraniumlead.routing.replica import SUSPECT_AFTER_OVERDUE, Replica
 from geraniumlead.routing.replica_group import ReplicaGroup
 from geraniumlead.routing.route import Route
@@ -251,10 +252,10 @@
             )
         if self._instance_id in owners:
             return Route(upstream_id, None)
-        reachable = [name for name in owners if self._membership.is_reachable(name, now_ms)]
-        if not reachable:
-            return None
-        return Route(upstream_id, reachable[int(self._random.random() * len(reachable))])
+        for name in replica.ranked_owners:
+            if name in owners and self._membership.is_reachable(name, now_ms):
+                return Route(upstream_id, name)
+        return None
 
     def _group_of(self, replicas: tuple[str, ...]) -> ReplicaGroup:
         group = self._groups.get(replicas)
@@ -283,5 +284,10 @@
         if replica is None:
             owners = self._owners.owners_of(upstream_id)
             is_own = self._instance_id in owners
-            replica = self._replicas[upstream_id] = Replica(upstream_id, owners, is_own)
+            # Each coordinator prefers owners in an order of its own: the subqueries of one tick
+            # then go to half as many peers as with a random pick, and over all coordinators
+            # an upstream's owners still get equal parts.
+            ranked = tuple(rank_by_rendezvous(self._instance_id, owners))
+            replica = Replica(upstream_id, owners, ranked, is_own)
+            self._replicas[upstream_id] = replica
         return replica
