--- a/packages/geraniumlead/src/geraniumlead/routing/router.py
+++ b/packages/geraniumlead/src/geraniumlead/routing/router.py
@@ -27,6 +27,13 @@
 COLD_HINT_MS = 500.0
 """Time for which an upstream that an owner called cold is reached through slot holders only."""
 
+DISTRUST_SHARE = 0.6
+"""Part of the replicas in use up to which suspicions are believed.
+
+It is above one half, as one of two replicas of every shard may be lost with a rack: a single
+chance suspicion more would then send half of the load back to the lost ones.
+"""
+
 SAME_SCORE = 1.5
 """Ratio up to which two replicas count as equal."""
 
@@ -40,7 +47,7 @@
     Load pattern: some replicas are slower or busier than others. Sending in turn makes the
     slowest replica of each shard set the latency; sending to the best known one makes all
     instances rush at it. Two random choices, compared by calls in flight times latency
-    seen, avoid both (Mitzenmacher, 2001; Prequal, NSDI 2024). If more than half of the
+    seen, avoid both (Mitzenmacher, 2001; Prequal, NSDI 2024). If more than three in five
     replicas in use look bad, the fault is probably this instance's own, so suspicions are
     ignored and the load is spread.
     """
@@ -208,7 +215,8 @@
     def _looks_bad(self, replica: Replica, now_ms: float) -> bool:
         if now_ms < replica.avoid_until_ms:
             return True
-        return replica.is_suspected and 2 * len(self._suspected) <= len(self._replicas)
+        most = DISTRUST_SHARE * len(self._replicas)
+        return replica.is_suspected and len(self._suspected) <= most
 
     def _has_free_cold_slot(self, replica: Replica, now_ms: float) -> bool:
         return self._dispatcher.has_free_cold_slot(replica.upstream_id, now_ms)
