--- a/packages/geraniumlead-standins/src/geraniumlead_standins/bench/control.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/control.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import gc
 import tracemalloc
 from pathlib import Path
 from statistics import fmean
@@ -153,6 +154,8 @@
 
 def measure_changes(instances: int) -> dict:
     """Return the time one instance takes to bring a change into force at the target's size."""
+    # Else the collector walks over what the measurement before left behind.
+    gc.collect()
     cluster = SmallCluster.from_size(ClusterSize(instances=1), 1)
     run = cluster.run
     tracemalloc.start()
