--- a/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/dispatcher.py
@@ -3,6 +3,8 @@
 from geraniumlead.cold_start import ColdStartGuard, WarmthPhase
 from geraniumlead.cold_start.cold_start_guard import RECHECK_MS
 from geraniumlead.configuration.cluster_view import ClusterView
+from geraniumlead.dispatch.long_running import find_long_running
+from geraniumlead.dispatch.refusal import SHED_RETRY_AFTER_MS, refuse_call
 from geraniumlead.dispatch.steps import DispatchStep, EndCall, StartCall, StopCall, TellOwners
 from geraniumlead.dispatch.upstream_gate import MOST_WAITING_PER_PLACE, UpstreamGate
 from geraniumlead.dispatch.waiting_call import WaitingCall
@@ -18,15 +20,9 @@
 )
 from geraniumlead.upstreams.subquery import Subquery
 
-SHED_RETRY_AFTER_MS = 50.0
-
 DRAINING_MS = 5_000.0
 """Time for which an upstream that said it drains gets nothing; the list says so by then."""
 
-OVERDUE_FACTOR = 20.0
-LEAST_OVERDUE_MS = 100.0
-"""An answer later than twenty mean service times may be on a connection that went silent."""
-
 
 class Dispatcher:
     """Start, queue, cancel and end calls to the upstreams that this instance owns.
@@ -61,7 +57,7 @@
     ) -> list[DispatchStep]:
         """Take over a new view; calls that wait for a leaving upstream end as not run."""
         self._view, self._owners = view, owners
-        self._long = _find_long_running(view)
+        self._long = find_long_running(view)
         self._guard.update(view, owners, list_revision, now_ms)
         steps: list[DispatchStep] = []
         for upstream_id, gate in list(self._gates.items()):
@@ -81,9 +77,13 @@
         gate = self._gate_for(subquery.upstream_id)
         if gate is None or now_ms < gate.draining_until_ms:
             return [EndCall(origin, subquery.call_id, Draining())]
-        is_long = (subquery.customer, subquery.class_name) in self._long
+        is_long = bool(self._long) and (subquery.customer, subquery.class_name) in self._long
         call = WaitingCall(subquery, origin, now_ms + subquery.remaining_ms, is_long)
-        refusal = self._refuse(gate, call, now_ms)
+        if not gate.waiting and not is_long and self._has_place(gate, now_ms):
+            # Most calls need not wait, and a query has more than a thousand.
+            self._calls[subquery.call_id] = (gate, call)
+            return [self._start(gate, call, subquery.remaining_ms, now_ms)]
+        refusal = refuse_call(gate, call, self._guard, now_ms)
         if refusal is not None:
             return [EndCall(origin, subquery.call_id, refusal)]
         steps: list[DispatchStep] = []
@@ -183,20 +183,9 @@
             return False
         return self._guard.most_in_flight(gate.entry, gate.warm_limit, now_ms) > 0
 
-    def _refuse(
-        self, gate: UpstreamGate, call: WaitingCall, now_ms: float
-    ) -> UpstreamAnswer | None:
-        entry, remaining_ms = gate.entry, call.subquery.remaining_ms
-        if call.long_running and gate.long_places == 0:
-            return Shed(SHED_RETRY_AFTER_MS)
-        if self._guard.takes_load(entry.upstream_id, now_ms):
-            wait_ms = gate.estimate_wait_ms(call, gate.warm_limit)
-            in_time = gate.can_end_in_time(wait_ms, remaining_ms)
-            return None if in_time else Shed(SHED_RETRY_AFTER_MS)
-        if not self._guard.holds_slot(entry):
-            return Cold()
-        wait_ms = max(self._guard.ready_ms(entry) - now_ms, 0.0) + gate.estimate_wait_ms(call, 1)
-        return None if gate.can_end_in_time(wait_ms, remaining_ms) else Cold()
+    def _has_place(self, gate: UpstreamGate, now_ms: float) -> bool:
+        most = self._guard.most_in_flight(gate.entry, gate.warm_limit, now_ms)
+        return len(gate.in_flight) < most and now_ms >= gate.limit.paused_until_ms
 
     def _learn(
         self, gate: UpstreamGate, call: WaitingCall, answer: UpstreamAnswer, now_ms: float
@@ -293,7 +282,7 @@
         if call.subquery.idempotent:
             upstream_id = gate.entry.upstream_id
             remaining_ms = self._guard.bound_call_ms(upstream_id, remaining_ms, now_ms)
-            overdue_ms = max(LEAST_OVERDUE_MS, OVERDUE_FACTOR * gate.service_ms)
+            overdue_ms = gate.overdue_ms
         return StartCall(call.subquery, gate.entry, remaining_ms, gate.connections, overdue_ms)
 
     def _arm(self, gate: UpstreamGate, now_ms: float) -> None:
@@ -310,12 +299,3 @@
 
     def _end(self, call: WaitingCall, answer: UpstreamAnswer) -> EndCall:
         return EndCall(call.origin, call.subquery.call_id, answer)
-
-
-def _find_long_running(view: ClusterView) -> frozenset[tuple[str, str]]:
-    return frozenset(
-        (contract.customer, traffic_class.name)
-        for contract in view.contracts.values()
-        for traffic_class in contract.classes
-        if traffic_class.long_running
-    )
--- a/packages/geraniumlead/src/geraniumlead/dispatch/upstream_gate.py
+++ b/packages/geraniumlead/src/geraniumlead/dispatch/upstream_gate.py
@@ -16,6 +16,11 @@
 """Guess of the service time before the first answer."""
 
 
+OVERDUE_FACTOR = 20.0
+LEAST_OVERDUE_MS = 100.0
+"""An answer later than twenty mean service times may be on a connection that went silent."""
+
+
 class UpstreamGate:
     """Count the calls in flight to one upstream and queue the others."""
 
@@ -57,6 +62,11 @@
         """Return the calls in flight that this owner may have while the upstream is warm."""
         return min(self.limit.value, self.connections)
 
+    @property
+    def overdue_ms(self) -> float:
+        """Return after which time a call's connection may be the fault."""
+        return max(LEAST_OVERDUE_MS, OVERDUE_FACTOR * self.service_ms)
+
     def can_start_long(self) -> bool:
         """Return whether a long job leaves a slot for the others."""
         return self.long_in_flight < self.long_places
