--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/histories/key_owner_variant.py
@@ -0,0 +1,46 @@
+"""Run bookings by the second way that was weighed: a key's owner by rendezvous hash."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from unittest.mock import patch
+
+from geraniumlead.instance.request_handler import RequestHandler
+from geraniumlead.ownership import rank_by_rendezvous
+from geraniumlead.requests import CallerRequest
+from geraniumlead.tickets import TicketRecord
+
+FOREVER_MS = float("inf")
+
+
+@contextmanager
+def own_keys_by_rendezvous() -> Iterator[None]:
+    """Let whichever listed instance ranks first for a key remember it and run its booking.
+
+    The owner has no memory of what it saw before it started, or of what another owner saw
+    under an older list; it takes an unknown key for a new one.
+    """
+    with patch.object(RequestHandler, "_is_settled_by_ticket", _is_settled_by_owner):
+        yield
+
+
+def _is_settled_by_owner(self: RequestHandler, request: CallerRequest, now_ms: float) -> bool:
+    parts, key = self._parts, request.ticket or ""
+    desk, book = parts.tickets, parts.tickets._book
+    lists = parts.store.view.instances.values()
+    names = [entry.instance_id for entries in lists for entry in entries]
+    owner_id = rank_by_rendezvous(key, names)[0] if names else parts.settings.instance_id
+    if owner_id != parts.settings.instance_id:
+        message, outcome = desk.forward(request, now_ms)
+        if not parts.send(owner_id, message):
+            desk.drop_forwarded(message.call_id)
+            self._calls.answer(request, outcome)
+        return True
+    if key not in book._records:
+        book._records[key] = TicketRecord(
+            request.customer, request.class_name, FOREVER_MS, FOREVER_MS
+        )
+    outcome = book.claim(request, now_ms)
+    if outcome is not None:
+        self._calls.answer(request, outcome)
+        return True
+    return desk.join_running(request)
