--- a/packages/geraniumlead/src/geraniumlead/cold_start/cold_start_guard.py
+++ b/packages/geraniumlead/src/geraniumlead/cold_start/cold_start_guard.py
@@ -51,6 +51,9 @@
         self._holders.update(view, owners, list_revision, now_ms)
         for upstream_id in self._warmth.keys() - view.upstreams.keys():
             del self._warmth[upstream_id]
+        for upstream_id, warmth in self._warmth.items():
+            if not view.is_usable(upstream_id):
+                warmth.note_away(now_ms)
 
     def tick(self, now_ms: float) -> None:
         """Note that the process runs; a gap means that it was paused, with an old view."""
--- a/packages/geraniumlead/src/geraniumlead/cold_start/upstream_warmth.py
+++ b/packages/geraniumlead/src/geraniumlead/cold_start/upstream_warmth.py
@@ -84,6 +84,16 @@
         self.ready_ms = max(self.ready_ms, now_ms + SETTLE_MS)
         return WarmthPhase.COLD if is_news else None
 
+    def note_away(self, now_ms: float) -> None:
+        """Forget what was proven of an upstream that may be sent nothing.
+
+        Failure: an upstream leaves for a few seconds to restart and is listed again. It was
+        proven warm a moment ago, so its owner sends its full share, and it falls over. What
+        was started before it left proves nothing of the time after its return.
+        """
+        self.phase, self.limit, self.clean_answers = WarmthPhase.UNPROVEN, 1, 0
+        self.cold_since_ms = now_ms
+
     def note_told_warm(self, now_ms: float) -> None:
         """Believe another owner that saw a warm answer, unless the sign of cold is newer."""
         if now_ms < self.cold_since_ms + SETTLE_MS:
--- a/packages/geraniumlead/tests/core_tests/cold_start/test_upstream_warmth.py
+++ b/packages/geraniumlead/tests/core_tests/cold_start/test_upstream_warmth.py
@@ -41,6 +41,17 @@
                 self.assertFalse(warmth.takes_load)
                 self.assertGreaterEqual(warmth.ready_ms, 10.0 + SETTLE_MS)
 
+    def test_upstream_that_left_is_unproven_when_it_returns(self):
+        """An upstream leaves, restarts within the proof's lifetime, and is listed again.
+
+        Its owner had it as warm and sent two calls at once to an upstream that bears one.
+        An answer to a call from before it left arrives late and proves nothing.
+        """
+        warmth = build_warm()
+        warmth.note_away(1_000.0)
+        warmth.note_answer(WARM_ANSWER, 990.0, 2, 1_010.0)
+        self.assertFalse(warmth.takes_load)
+
     def test_answer_from_before_the_restart_proves_nothing(self):
         """A warm answer overtakes nothing: its call began before the connection reset.
 
