--- a/packages/geraniumlead-standins/src/geraniumlead_standins/demo/verdict.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/demo/verdict.py
@@ -67,10 +67,9 @@
 def _judge_bookings(
     verdict: Verdict, requests: list[SentRequest], upstream_lines: list[dict]
 ) -> None:
+    # Only bookings carry a token in their query.
     ran = Counter(
-        line["query"]["booking"]
-        for line in upstream_lines
-        if line["event"] == "ran" and "booking" in line["query"]
+        line["token"] for line in upstream_lines if line["event"] == "ran" and line["token"]
     )
     verdict.bookings_run = len(ran)
     verdict.doubled_bookings = sum(count > 1 for count in ran.values())
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/load/caller.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/load/caller.py
@@ -90,7 +90,7 @@
             sent.outcomes.append("not_run")
             return "not_run"
         ticket, address = issued
-        query = {"booking": sent.name}
+        query = {"token": sent.name}
         body = {
             "class": self._load.class_name,
             "query": query,
--- a/packages/geraniumlead-standins/tests/standins_tests/demo/builders.py
+++ b/packages/geraniumlead-standins/tests/standins_tests/demo/builders.py
@@ -20,7 +20,7 @@
 
 def build_ran(name: str = "booking-0", **changes) -> dict:
     """Return an upstream's line about a booking that ran."""
-    line = {"event": "ran", "who": "noord-booking-0-1", "at_ns": 0, "query": {"booking": name}}
+    line = {"event": "ran", "who": "noord-booking-0-1", "at_ns": 0, "token": name}
     return line | changes
 
 
--- a/packages/geraniumlead-standins/tests/standins_tests/demo/test_verdict.py
+++ b/packages/geraniumlead-standins/tests/standins_tests/demo/test_verdict.py
@@ -26,7 +26,7 @@
         self.assertEqual(self.judge([build_sent()], []).lost_bookings, 1)
 
     def test_finds_a_lost_booking_when_none_ran_at_all(self):
-        lookups = build_ran(query={"text": "x"})
+        lookups = build_ran(token="")
         self.assertEqual(self.judge([build_sent()], [lookups]).lost_bookings, 1)
 
     def test_finds_a_booking_that_ran_though_refused(self):
