--- a/packages/geraniumlead/src/geraniumlead/coordination/straggler_watch.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/straggler_watch.py
@@ -68,6 +68,8 @@
                 steps += self._ask_parked(query, shard, now_ms)
             elif delay_ms is not None and now_ms >= shard.sent_ms + delay_ms:
                 steps += self._take_late(query, shard, now_ms)
+                if reach_ms is not None and now_ms >= shard.sent_ms + reach_ms:
+                    steps += self._replace_lost(query, shard, now_ms)
             due_ms = self._next_check_ms(shard, delay_ms, reach_ms, now_ms)
             query.check_ms = min(query.check_ms, due_ms)
         return steps
@@ -114,6 +116,22 @@
         shard.hedges += 1
         return steps
 
+    def _replace_lost(
+        self, query: OpenQuery, shard: ShardState, now_ms: float
+    ) -> list[AskUpstream]:
+        """Ask again for a shard whose answer is beyond reach, as after a failure.
+
+        Failure: a replica stops answering. The ordinary late answers use the whole budget of
+        hedges, so without the budget of retries such a query waits for its deadline.
+        """
+        budget = self._budgets.retries_of(query)
+        if not budget.spend():
+            return []
+        steps = self._calls.ask_shard(query, shard, now_ms, only_good=True)
+        if not steps:
+            budget.give_back()
+        return steps
+
     def _next_check_ms(
         self, shard: ShardState, delay_ms: float | None, reach_ms: float | None, now_ms: float
     ) -> float:
