Use an idle suspect while all other replicas are busy

Cause: the router suspects a replica after three late answers. Under overload answers are late because calls wait; both replicas of a shard were suspected in turn, and its capacity halved for up to a second.

--- a/packages/geraniumlead/src/geraniumlead/routing/router.py
+++ b/packages/geraniumlead/src/geraniumlead/routing/router.py
@@ -30,6 +30,9 @@
 SAME_SCORE = 1.5
 """Ratio up to which two replicas count as equal."""
 
+BUSY_IN_FLIGHT = 3
+"""Calls in flight from here at which a replica counts as busy; a share of one slot holds one."""
+
 PROBE_INTERVAL_MS = 500.0
 """Time between probes of a suspected replica: recovery shows within a second."""
 
@@ -114,16 +117,41 @@
                 elif replica.is_own and self._has_free_cold_slot(replica, now_ms):
                     # A free cold slot is used first: that is how the upstream gets warm.
                     return Route(replica.upstream_id, None)
+            idle = self._find_idle_suspect(tier, good, tried, now_ms)
             while good:
-                replica = self._pick(good, now_ms)
+                replica = idle or self._pick(good, now_ms)
+                idle = None
                 route = self._route_to(replica, now_ms, long_running)
                 if route is not None:
                     return route
-                good.remove(replica)
+                if replica in good:
+                    good.remove(replica)
         if only_good:
             return None
         return self._choose_last_resort(group, tried, now_ms, long_running)
 
+    def _find_idle_suspect(
+        self,
+        tier: Collection[Replica],
+        good: list[Replica],
+        tried: Collection[str],
+        now_ms: float,
+    ) -> Replica | None:
+        """Return a suspected replica that is idle while all good ones are busy.
+
+        Under overload answers are late because calls wait, and a suspicion then takes half of
+        a shard's capacity away. One call at a time shows whether the replica is slow.
+        """
+        if not self._suspected or not good:
+            return None
+        if min(replica.in_flight for replica in good) < BUSY_IN_FLIGHT:
+            return None
+        for replica in tier:
+            is_idle = replica.is_suspected and replica.in_flight == 0
+            if is_idle and replica.upstream_id not in tried and now_ms >= replica.avoid_until_ms:
+                return None if self._is_known_cold(replica, now_ms) else replica
+        return None
+
     def take_probe(
         self, replicas: tuple[str, ...], tried: Collection[str], now_ms: float
     ) -> Route | None:
