--- a/packages/geraniumlead/tests/core_tests/routing/test_router.py
+++ b/packages/geraniumlead/tests/core_tests/routing/test_router.py
@@ -14,6 +14,7 @@
 from geraniumlead.ownership import OwnerTable, rank_by_rendezvous
 from geraniumlead.peers import Heartbeat
 from geraniumlead.routing import Router
+from geraniumlead.routing.router import BUSY_IN_FLIGHT
 from geraniumlead.settings import TimingSettings
 from geraniumlead.upstreams import Cold, Records
 
@@ -97,6 +98,25 @@
         self.router.note_answer("ledger-2", RECORDS, 4.0, 704.0)
         self.assertIn("ledger-2", {self.send(710.0, {}) for _ in range(50)})
 
+    def test_idle_suspect_is_used_while_all_others_are_busy(self):
+        """Under overload answers are late because calls wait, so a sound replica is suspected.
+
+        Its share of the load then waits at the others, and the shard loses that much of its
+        capacity just when all of it is needed. One call at a time goes to the suspect.
+        """
+        for number in range(50):
+            self.send(float(number), {})
+        for _ in range(3):
+            self.router.note_overdue("ledger-2", 100.0)
+        self.assertNotEqual("ledger-2", self.router.choose(LOCAL, (), 110.0).upstream_id)
+        for name in LOCAL:
+            if name != "ledger-2":
+                for _ in range(BUSY_IN_FLIGHT):
+                    self.router.note_sent(name)
+        self.assertEqual("ledger-2", self.router.choose(LOCAL, (), 110.0).upstream_id)
+        self.router.note_sent("ledger-2")
+        self.assertNotEqual("ledger-2", self.router.choose(LOCAL, (), 110.0).upstream_id)
+
     def test_view_in_which_most_look_bad_is_distrusted(self):
         """This instance was slow itself, so that every answer seemed late."""
         for number in range(50):
