--- a/packages/geraniumlead/src/geraniumlead/routing/router.py
+++ b/packages/geraniumlead/src/geraniumlead/routing/router.py
@@ -9,6 +9,7 @@
 from geraniumlead.dispatch.upstream_gate import count_long_places
 from geraniumlead.membership.membership import Membership
 from geraniumlead.ownership.owners import OwnerTable
+from geraniumlead.ownership.rendezvous import rank_by_rendezvous
 from geraniumlead.routing.replica import SUSPECT_AFTER_OVERDUE, Replica
 from geraniumlead.routing.replica_group import ReplicaGroup
 from geraniumlead.routing.route import Route
@@ -27,6 +28,13 @@
 COLD_HINT_MS = 500.0
 """Time for which an upstream that an owner called cold is reached through slot holders only."""
 
+DISTRUST_SHARE = 0.6
+"""Part of the replicas in use up to which suspicions are believed.
+
+It is above one half, as one of two replicas of every shard may be lost with a rack: a single
+chance suspicion more would then send half of the load back to the lost ones.
+"""
+
 SAME_SCORE = 1.5
 """Ratio up to which two replicas count as equal."""
 
@@ -43,7 +51,7 @@
     Load pattern: some replicas are slower or busier than others. Sending in turn makes the
     slowest replica of each shard set the latency; sending to the best known one makes all
     instances rush at it. Two random choices, compared by calls in flight times latency
-    seen, avoid both (Mitzenmacher, 2001; Prequal, NSDI 2024). If more than half of the
+    seen, avoid both (Mitzenmacher, 2001; Prequal, NSDI 2024). If more than three in five
     replicas in use look bad, the fault is probably this instance's own, so suspicions are
     ignored and the load is spread.
     """
@@ -236,7 +244,8 @@
     def _looks_bad(self, replica: Replica, now_ms: float) -> bool:
         if now_ms < replica.avoid_until_ms:
             return True
-        return replica.is_suspected and 2 * len(self._suspected) <= len(self._replicas)
+        most = DISTRUST_SHARE * len(self._replicas)
+        return replica.is_suspected and len(self._suspected) <= most
 
     def _has_free_cold_slot(self, replica: Replica, now_ms: float) -> bool:
         return self._dispatcher.has_free_cold_slot(replica.upstream_id, now_ms)
@@ -279,10 +288,10 @@
             )
         if self._instance_id in owners:
             return Route(upstream_id, None)
-        reachable = [name for name in owners if self._membership.is_reachable(name, now_ms)]
-        if not reachable:
-            return None
-        return Route(upstream_id, reachable[int(self._random.random() * len(reachable))])
+        for name in replica.ranked_owners:
+            if name in owners and self._membership.is_reachable(name, now_ms):
+                return Route(upstream_id, name)
+        return None
 
     def _group_of(self, replicas: tuple[str, ...]) -> ReplicaGroup:
         group = self._groups.get(replicas)
@@ -311,5 +320,10 @@
         if replica is None:
             owners = self._owners.owners_of(upstream_id)
             is_own = self._instance_id in owners
-            replica = self._replicas[upstream_id] = Replica(upstream_id, owners, is_own)
+            # Each coordinator prefers owners in an order of its own: the subqueries of one tick
+            # then go to half as many peers as with a random pick, and over all coordinators
+            # an upstream's owners still get equal parts.
+            ranked = tuple(rank_by_rendezvous(self._instance_id, owners))
+            replica = Replica(upstream_id, owners, ranked, is_own)
+            self._replicas[upstream_id] = replica
         return replica
