--- a/packages/geraniumlead/src/geraniumlead/quarantine/canary_planner.py
+++ b/packages/geraniumlead/src/geraniumlead/quarantine/canary_planner.py
@@ -19,8 +19,13 @@
     once, it reaches two upstreams. Without this, each instance would crash a replica of its
     own choice before the first notice to its peers arrives. To go on to a third replica when
     both are cold or can't be reached was tried: after a crash they are just that, and thirty
-    sends through three instances at one moment crashed four upstreams instead of two. So an
-    unproven query fails while both of its replicas are out; a proven one does not.
+    sends through three instances at one moment crashed four upstreams instead of two.
+
+    The two are the first of the own data centre and the first of another. With both in the
+    own one, every unproven query failed for as long as the own data centre's upstreams were
+    down. Each data centre's first is the same for all, so several data centres together
+    reach no more upstreams than there are data centres. An unproven query still fails while
+    both of its replicas are out; a proven one does not.
     """
 
     __slots__ = ("_data_centre", "_view")
@@ -40,12 +45,26 @@
             return None
         place = held[fingerprint % len(held)]
         shard = plan.shards[place]
-        near = [name for name in shard.replicas if self._is_near(name)]
-        ranked = rank_by_rendezvous(str(fingerprint), near or shard.replicas)
-        few = replace(shard, replicas=tuple(ranked[:CANARY_REPLICAS]))
+        few = replace(shard, replicas=self._choose_few(shard.replicas, str(fingerprint)))
         shards = (*plan.shards[:place], few, *plan.shards[place + 1 :])
         return CanaryPlan(replace(plan, shards=shards), place)
 
+    def _choose_few(self, replicas: tuple[str, ...], subject: str) -> tuple[str, ...]:
+        ranked = rank_by_rendezvous(subject, replicas)
+        # Stable, so each data centre's first comes before any second, near ones before far.
+        ranked = sorted(
+            ranked, key=lambda name: (self._rank_at_home(name, ranked), not self._is_near(name))
+        )
+        return tuple(ranked[:CANARY_REPLICAS])
+
+    def _rank_at_home(self, upstream_id: str, ranked: list[str]) -> int:
+        home = self._home_of(upstream_id)
+        at_home = [name for name in ranked if self._home_of(name) == home]
+        return at_home.index(upstream_id)
+
     def _is_near(self, upstream_id: str) -> bool:
+        return self._home_of(upstream_id) == self._data_centre
+
+    def _home_of(self, upstream_id: str) -> str | None:
         placed = self._view.upstreams.get(upstream_id)
-        return placed is not None and placed.data_centre == self._data_centre
+        return None if placed is None else placed.data_centre
