--- a/packages/geraniumlead/src/geraniumlead/cold_start/cold_start_guard.py
+++ b/packages/geraniumlead/src/geraniumlead/cold_start/cold_start_guard.py
@@ -27,6 +27,7 @@
         "_confirmation",
         "_holders",
         "_instance_id",
+        "_out_of_use",
         "_pause_gap_ms",
         "_ticked_ms",
         "_warmth",
@@ -41,6 +42,7 @@
         self._holders = SlotHolders(timing.list_lag_ms)
         self._confirmation = confirmation
         self._warmth: dict[str, UpstreamWarmth] = {}
+        self._out_of_use: set[str] = set()
         self._ticked_ms = float("inf")
         self.can_serve = False
 
@@ -51,6 +53,18 @@
         self._holders.update(view, owners, list_revision, now_ms)
         for upstream_id in self._warmth.keys() - view.upstreams.keys():
             del self._warmth[upstream_id]
+        self._forget_returned(view)
+
+    def _forget_returned(self, view: ClusterView) -> None:
+        """Take an upstream that was out of use, and is back, for unproven.
+
+        Failure: an upstream leaves, restarts and is listed again. Nothing was sent to it, so
+        nothing showed the restart, and its owners would go on where they left off.
+        """
+        out_of_use = {name for name in self._warmth if not view.is_usable(name)}
+        for upstream_id in self._out_of_use - out_of_use:
+            self._warmth.pop(upstream_id, None)
+        self._out_of_use = out_of_use
 
     def tick(self, now_ms: float) -> None:
         """Note that the process runs; a gap means that it was paused, with an old view."""
--- a/packages/geraniumlead/tests/core_tests/dispatch/test_dispatcher.py
+++ b/packages/geraniumlead/tests/core_tests/dispatch/test_dispatcher.py
@@ -101,3 +101,16 @@
         answers = {step.call_id: step.answer for step in steps if isinstance(step, EndCall)}
         self.assertEqual({"c0", "c1"}, answers.keys())
         self.assertTrue(all(isinstance(answer, ConnectionLost) for answer in answers.values()))
+
+    def test_upstream_that_was_out_of_use_comes_back_unproven(self):
+        """An upstream leaves, restarts unseen and is listed again while it is cold.
+
+        Its owners sent nothing meanwhile. Were it still taken for warm, it would get two
+        calls at once and fall over.
+        """
+        dispatcher = build_dispatcher()
+        for state in ("leaving", "serving"):
+            view = build_view(state=state)
+            dispatcher.update(view, OwnerTable(view), 1, 10_000.0)
+        started = [started_ids(submit(dispatcher, f"c{number}", 10_001.0)) for number in range(2)]
+        self.assertEqual([["c0"], []], started)
