--- a/packages/geraniumlead-standins/src/geraniumlead_standins/soak/chaos.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/soak/chaos.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from aiohttp import ClientSession
+from msgspec import to_builtins
 from msgspec.json import encode
 
 from geraniumlead_standins.history import HistoryWriter
@@ -24,6 +25,7 @@
         self._fleet = fleet
         self._random = random
         self._platform = HistoryWriter(layout.history_file("platform"), "platform")
+        self._documents = documents
         self.counts: dict[str, int] = {}
         self.published: dict[str, list[int]] = {}
         for number, (key, document) in enumerate(documents.items()):
@@ -39,6 +41,7 @@
             self._stop,
             self._platform_down,
             self._move_data_centre,
+            self._move_upstream,
             self._turn_cold,
             self._straggle,
         )
@@ -77,6 +80,19 @@
         await asyncio.sleep(self._random.uniform(6.0, 9.0))
         await self._publish_state(session, name, "in")
 
+    async def _move_upstream(self, session: ClientSession) -> None:
+        place = self._random.choice(DATA_CENTRES)
+        leaving = self._random.choice(self._layout.upstream_ids(place))
+        key = f"geraniumlead/upstreams/{place}"
+        serving = to_builtins(self._documents[key])
+        entries = [
+            entry | {"state": "leaving" if entry["upstream_id"] == leaving else "serving"}
+            for entry in serving["upstreams"]
+        ]
+        await self._publish(session, key, serving | {"upstreams": entries})
+        await asyncio.sleep(self._random.uniform(6.0, 9.0))
+        await self._publish(session, key, serving)
+
     async def _turn_cold(self, session: ClientSession) -> None:
         place = self._random.choice(DATA_CENTRES)
         name = self._random.choice(self._layout.upstream_ids(place))
@@ -92,9 +108,12 @@
         await self._put(session, url, {name: {"slowdown": 1.0}})
 
     async def _publish_state(self, session: ClientSession, name: str, state: str) -> None:
-        key = f"geraniumlead/data-centres/{name}"
         document = {"name": name, "region": name, "state": state}
-        found = await self._put(session, f"http://{self._layout.platform}/publish", {key: document})
+        await self._publish(session, f"geraniumlead/data-centres/{name}", document)
+
+    async def _publish(self, session: ClientSession, key: str, document: dict) -> None:
+        url = f"http://{self._layout.platform}/publish"
+        found = await self._put(session, url, {key: document})
         self._note_published(key, found["revision"], document)
 
     def _note_published(self, key: str, revision: int, document: object) -> None:
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/soak/fleet.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/soak/fleet.py
@@ -9,6 +9,8 @@
 from geraniumlead_standins.soak.layout import DATA_CENTRES, Layout
 
 STOP_TIMEOUT_S = 35.0
+START_TIMEOUT_S = 20.0
+POLL_S = 0.02
 
 
 class Fleet:
@@ -39,8 +41,22 @@
             name, "-m", "geraniumlead_server.main", "--settings", settings
         )
         self._lives[name] = self._lives.get(name, 0) + 1
+        # A process that does not listen yet owes no answer: callers see a refused connection.
+        await self._wait_until_listening(self._layout.address_of(name, 0))
         self._note(name, "process_started")
 
+    async def _wait_until_listening(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(host, int(port))
+                except OSError:
+                    await asyncio.sleep(POLL_S)
+                    continue
+                writer.close()
+                return
+
     def life_of(self, name: str) -> str:
         """Return which start of an instance is running, as its incarnation."""
         return str(self._lives.get(name, 0))
--- a/packages/geraniumlead-standins/tests/standins_tests/histories/test_scenarios.py
+++ b/packages/geraniumlead-standins/tests/standins_tests/histories/test_scenarios.py
@@ -63,11 +63,13 @@
     def test_seeds_that_found_a_fault(self):
         """Seed 1 of a repartition answered from the new version ran bookings twice; seed 1 of
         a centre that returns cold lost a reply in a stopping owner; seed 1 of a crash query
-        ended the process in the admission's arithmetic."""
+        ended the process in the admission's arithmetic; seed 65133 of an upstream that comes
+        back cold made it fall over, since its owner took it for as warm as before."""
         for seed, failure in (
             (1, "newest answered"),
             (1, "centre returns cold"),
             (1, "crash query"),
+            (65133, "upstream returns cold"),
         ):
             with self.subTest(seed=seed, failure=failure):
                 self.assertEqual([], find_broken(Scenario(seed, (failure,))))
--- a/packages/geraniumlead/src/geraniumlead/cold_start/cold_start_guard.py
+++ b/packages/geraniumlead/src/geraniumlead/cold_start/cold_start_guard.py
@@ -24,6 +24,7 @@
     """
 
     __slots__ = (
+        "_away",
         "_confirmation",
         "_holders",
         "_instance_id",
@@ -41,16 +42,23 @@
         self._holders = SlotHolders(timing.list_lag_ms)
         self._confirmation = confirmation
         self._warmth: dict[str, UpstreamWarmth] = {}
+        self._away: set[str] = set()
         self._ticked_ms = float("inf")
         self.can_serve = False
 
     def update(
         self, view: ClusterView, owners: OwnerTable, list_revision: int, now_ms: float
     ) -> None:
-        """Take over a view; forget upstreams that are gone."""
+        """Take over a view; forget upstreams that are gone or come back.
+
+        An upstream that was leaving, or whose data centre was out, may have been restarted
+        meanwhile. Taken for as warm as it was, it would fall over under its first calls.
+        """
         self._holders.update(view, owners, list_revision, now_ms)
-        for upstream_id in self._warmth.keys() - view.upstreams.keys():
-            del self._warmth[upstream_id]
+        away = {name for name in view.upstreams if not view.is_usable(name)}
+        for upstream_id in (self._away - away) | (self._warmth.keys() - view.upstreams.keys()):
+            self._warmth.pop(upstream_id, None)
+        self._away = away
 
     def tick(self, now_ms: float) -> None:
         """Note that the process runs; a gap means that it was paused, with an old view."""
