--- a/packages/geraniumlead-standins/tests/standins_tests/membership/builders.py
+++ b/packages/geraniumlead-standins/tests/standins_tests/membership/builders.py
@@ -65,6 +65,22 @@
         )
         self.run.deliver(name, QueryArrived(request))
 
+    def book(self, name: str, request_id: str, ticket: str, allowed_ms: float) -> None:
+        """Send a booking with a ticket to an instance."""
+        now_ms = self.run.now_ms
+        request = CallerRequest(
+            request_id,
+            "acme",
+            "booking",
+            b"{}",
+            now_ms,
+            now_ms + allowed_ms,
+            1.0,
+            key="member-1",
+            ticket=ticket,
+        )
+        self.run.deliver(name, QueryArrived(request))
+
     def set_data_centre(self, name: str, state: str) -> None:
         """Take a data centre out or in."""
         key = document_key(DocumentKind.DATA_CENTRE, name)
--- a/packages/geraniumlead-standins/tests/standins_tests/membership/test_pause.py
+++ b/packages/geraniumlead-standins/tests/standins_tests/membership/test_pause.py
@@ -120,3 +120,23 @@
         self.assertEqual(0, calls_to_noord(recorded))
         for number in range(8):
             self.assertIn(f"r{number}", recorded.outcomes)
+
+    def test_repeat_of_a_booking_that_ran_is_never_refused_as_not_run(self):
+        """A booking runs, its instance is frozen, and the caller sends it again at the wake.
+
+        The repeat has 10 ms left and the view is not confirmed yet. Refused as not run, its
+        caller would book anew with another ticket; it gets the outcome of the first instead.
+        """
+        recorded = RecordedCluster.from_size(TWO_CENTRES)
+        recorded.settle()
+        ticket = recorded.instance("noord-0").parts.tickets.issue(
+            "acme", "booking", recorded.run.now_ms
+        )
+        recorded.book("noord-0", "b1", ticket, allowed_ms=1_000.0)
+        recorded.run_for(1_000.0)
+        self.assertIsInstance(recorded.outcomes["b1"], Answered)
+        recorded.run.freeze("noord-0")
+        recorded.run_for(FROZEN_MS)
+        recorded.run.instances["noord-0"].is_frozen = False
+        recorded.book("noord-0", "b2", ticket, allowed_ms=10.0)
+        self.assertEqual(recorded.outcomes["b1"], recorded.outcomes["b2"])
--- a/packages/geraniumlead/src/geraniumlead/cold_start/cold_start_guard.py
+++ b/packages/geraniumlead/src/geraniumlead/cold_start/cold_start_guard.py
@@ -47,7 +47,11 @@
     def update(
         self, view: ClusterView, owners: OwnerTable, list_revision: int, now_ms: float
     ) -> None:
-        """Take over a view; forget upstreams that are gone."""
+        """Take over a view; forget upstreams that are gone or come back.
+
+        An upstream that was leaving, or whose data centre was out, may have been restarted
+        meanwhile. Taken for as warm as it was, it would fall over under its first calls.
+        """
         self._holders.update(view, owners, list_revision, now_ms)
         for upstream_id in self._warmth.keys() - view.upstreams.keys():
             del self._warmth[upstream_id]
--- a/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
@@ -28,6 +28,10 @@
 
     def take_request(self, request: CallerRequest, now_ms: float) -> None:
         """Start, queue, hold, forward or refuse a request."""
+        # First of all: a repeat of a booking that ran may not be refused as not run, neither
+        # for a view that is not confirmed nor by an instance that knows no documents yet.
+        if request.ticket is not None and self._is_settled_by_ticket(request, now_ms):
+            return
         if not self._parts.is_configured:
             refusal = NotRun(RefusalReason.OUT_OF_SERVICE, REFUSAL_RETRY_AFTER_MS)
             self._calls.answer(request, refusal)
@@ -36,8 +40,6 @@
             if not self.held.hold(request, now_ms):
                 self._refuse_held(request)
             return
-        if request.ticket is not None and self._is_settled_by_ticket(request, now_ms):
-            return
         refusal = self.quarantine.refuse(request, now_ms)
         if refusal is not None:
             self._calls.answer(request, refusal)
