--- a/packages/geraniumlead-standins/src/geraniumlead_standins/histories/plain_variants.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/histories/plain_variants.py
@@ -94,20 +94,13 @@
 def call_unknown_not_run() -> Iterator[None]:
     """Tell callers "not run" where the truth is not known."""
 
-    def outcome_of(self, query):
-        found = original(self, query)
-        return NotRun(RefusalReason.UPSTREAM_SHED, 10.0) if isinstance(found, Unknown) else found
-
     def end(self, query, outcome, now_ms):
         if isinstance(outcome, Unknown):
             outcome = NotRun(RefusalReason.UPSTREAM_SHED, 10.0)
         return original_end(self, query, outcome, now_ms)
 
-    original, original_end = QueryCoordinator._outcome_of, QueryCoordinator._end
-    with (
-        patch.object(QueryCoordinator, "_outcome_of", outcome_of),
-        patch.object(QueryCoordinator, "_end", end),
-    ):
+    original_end = QueryCoordinator._end
+    with patch.object(QueryCoordinator, "_end", end):
         yield
 
 
