--- a/packages/geraniumlead-server/src/geraniumlead_server/callers/reading.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/callers/reading.py
@@ -32,6 +32,6 @@
         raise falcon.HTTPBadRequest(title="the body is malformed", description=str(error)) from None
 
 
-def _too_large(limit_bytes: int) -> falcon.HTTPPayloadTooLarge:
+def _too_large(limit_bytes: int) -> falcon.HTTPContentTooLarge:
     title = f"the body is longer than {limit_bytes} bytes"
-    return falcon.HTTPPayloadTooLarge(title=title, headers=_CLOSE)
+    return falcon.HTTPContentTooLarge(title=title, headers=_CLOSE)
