Say how far the capacity page's CPU figures can be trusted

Cause: the same decisions took 34.8 us a subquery at 200 shards in one minute and 52.9 in another, on an idle machine.

--- a/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/page_text.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/page_text.py
@@ -12,7 +12,9 @@
 `docs/measurements/capacity.json` and `control.json`. Everything ran on one machine of twelve
 shared cores with Python {python}, on loopback. CPU is process time; in-process lines take the
 least of four runs, process runs are single ones. What is worked out from lines beyond their
-measured sizes is an extrapolation; the sizes column says how far a line was measured.
+measured sizes is an extrapolation; the sizes column says how far a line was measured. The same
+code took up to 1.7 times as long from one minute to another on this machine, so a CPU figure is
+good to about that factor.
 """
 
 MECHANISMS = (
