--- a/packages/geraniumlead-server/src/geraniumlead_server/bounded_protocol.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/bounded_protocol.py
@@ -31,6 +31,16 @@
         self._is_refused = False
         self._timer: TimerHandle | None = None
 
+    @property
+    def most_header_bytes(self) -> int:
+        """Return the bound on the headers of one message."""
+        return MOST_HEADER_BYTES
+
+    @property
+    def message_timeout_s(self) -> float:
+        """Return the time in which one message has to come."""
+        return MESSAGE_TIMEOUT_S
+
     def connection_made(self, transport) -> None:
         """Start the clock: a connection without a request is held no longer than a slow one."""
         super().connection_made(transport)
@@ -51,7 +61,7 @@
             return
         if self._is_in_headers and self._is_in_message:
             self._header_bytes += len(data)
-            if self._header_bytes > MOST_HEADER_BYTES:
+            if self._header_bytes > self.most_header_bytes:
                 self._refuse(431)
                 return
         if self._is_in_message:
@@ -71,7 +81,7 @@
 
     def _arm(self) -> None:
         if self._timer is None:
-            self._timer = self.loop.call_later(MESSAGE_TIMEOUT_S, self._give_up)
+            self._timer = self.loop.call_later(self.message_timeout_s, self._give_up)
 
     def _disarm(self) -> None:
         if self._timer is not None:
@@ -80,6 +90,10 @@
 
     def _give_up(self) -> None:
         self._timer = None
+        if self._header_bytes == 0 and self._is_in_headers:
+            # Nothing was asked on it, so an answer would be taken for the next request's.
+            self.transport.close()
+            return
         if self._is_in_headers or not self.cycle.response_started:
             self._refuse(408)
         else:
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_driver.py
@@ -0,0 +1,104 @@
+"""Drive the forwarder: feed it events and carry out its actions."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from geraniumlead.forwarding import (
+    CallerLeft,
+    CancelAttempt,
+    ForwardedRequest,
+    Forwarder,
+    ForwardingAction,
+    ForwardingEvent,
+    LogDecision,
+    Reply,
+    RequestArrived,
+    SendReply,
+    StartAttempt,
+    TimePassed,
+)
+from geraniumlead.routes import RequestLimits
+
+logger = logging.getLogger("geraniumlead")
+
+
+class ForwardingDriver:
+    """Hold the forwarder, its timer, and the callers that wait for replies.
+
+    Everything runs on one loop; an event that comes while another is handled waits for it.
+    """
+
+    def __init__(self, forwarder: Forwarder, carry_out: Callable[[ForwardingAction], None]) -> None:
+        self.forwarder = forwarder
+        self.observers: list[Callable[[LogDecision], None]] = []
+        self._carry_out = carry_out
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_due_ms = float("inf")
+        self._waiting: dict[int, asyncio.Future] = {}
+        self._last_key = 0
+
+    @property
+    def limits(self) -> RequestLimits:
+        """Return the limits on callers' requests that are in force."""
+        configuration = self.forwarder.published.configuration
+        return RequestLimits() if configuration is None else configuration.limits
+
+    def now_ms(self) -> float:
+        """Return the monotonic clock in milliseconds."""
+        return self._loop.time() * 1000.0
+
+    def next_key(self) -> int:
+        """Return a key that no other request of this process has."""
+        self._last_key += 1
+        return self._last_key
+
+    def handle(self, event: ForwardingEvent) -> None:
+        """Pass one event to the forwarder and carry out what follows."""
+        self.carry_out_all(self.forwarder.handle(event, self.now_ms()))
+        self._arm_timer()
+
+    def ask(self, request: ForwardedRequest) -> asyncio.Future:
+        """Return the future reply to a request."""
+        future = self._loop.create_future()
+        self._waiting[request.key] = future
+        self.handle(RequestArrived(request))
+        return future
+
+    def drop(self, key: int) -> None:
+        """Tell that a caller left."""
+        if self._waiting.pop(key, None) is not None:
+            self.handle(CallerLeft(key))
+
+    def carry_out_all(self, actions: list[ForwardingAction]) -> None:
+        """Carry out actions in their order."""
+        for action in actions:
+            match action:
+                case SendReply(key=key, reply=reply):
+                    self._resolve(key, reply)
+                case LogDecision():
+                    for observe in self.observers:
+                        observe(action)
+                case StartAttempt() | CancelAttempt():
+                    self._carry_out(action)
+
+    def _resolve(self, key: int, reply: Reply) -> None:
+        future = self._waiting.pop(key, None)
+        if future is not None and not future.done():
+            future.set_result(reply)
+
+    def _arm_timer(self) -> None:
+        due_ms = self.forwarder.next_wake_ms()
+        if due_ms == self._timer_due_ms:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._timer_due_ms = due_ms
+        if due_ms < float("inf"):
+            self._timer = self._loop.call_at(due_ms / 1000.0, self._fire)
+
+    def _fire(self) -> None:
+        self._timer, self._timer_due_ms = None, float("inf")
+        self.handle(TimePassed())
--- a/packages/geraniumlead-server/src/geraniumlead_server/logs/json_formatter.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/logs/json_formatter.py
@@ -6,7 +6,7 @@
 
 from msgspec.json import encode
 
-from geraniumlead.settings import InstanceSettings
+from geraniumlead.settings import InstanceSettings, PlatformSettings
 
 
 class JsonFormatter(logging.Formatter):
@@ -30,9 +30,11 @@
         return encode(line).decode()
 
 
-def configure_logging(settings: InstanceSettings) -> None:
-    """Send all log records to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logging(
+    settings: InstanceSettings | PlatformSettings, handler: logging.Handler | None = None
+) -> None:
+    """Send all log records as JSON lines to a handler, or to standard error."""
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(JsonFormatter(settings.instance_id, settings.data_centre))
     logging.basicConfig(level=settings.log_level.upper(), handlers=[handler], force=True)
     # The access log repeats what the request log says with more fields.
--- a/packages/geraniumlead-server/src/geraniumlead_server/main.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/main.py
@@ -9,8 +9,7 @@
 
 from geraniumlead.checks import find_refusal
 from geraniumlead.settings import InstanceSettings
-from geraniumlead_server.daemon import Daemon
-from geraniumlead_server.logs import configure_logging
+from geraniumlead_server.logs import QueuedOutput, configure_logging
 
 EXIT_BAD_SETTINGS = 2
 
@@ -19,6 +18,9 @@
     """Return the parser of the command line."""
     parser = argparse.ArgumentParser(prog="geraniumleadd", description=__doc__)
     parser.add_argument("--settings", type=Path, required=True, help="JSON file of settings")
+    parser.add_argument(
+        "--platform", action="store_true", help="run on the users' platform (its settings file)"
+    )
     parser.add_argument("--check", action="store_true", help="check the settings and exit")
     return parser
 
@@ -45,9 +47,26 @@
     return [f"{name}: {message.to_text()}" for name, message in findings]
 
 
+def run_on_platform(path: Path, only_check: bool) -> int:
+    """Serve opaque requests until SIGTERM; exit 2 for bad settings."""
+    # Loaded only here: each of the two daemons has no use for the other's parts.
+    from geraniumlead_server.platform_daemon import PlatformDaemon, load_platform_settings
+
+    settings = load_platform_settings(path)
+    if isinstance(settings, str):
+        print(f"geraniumleadd: {settings}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    if not only_check:
+        configure_logging(settings, QueuedOutput(sys.stdout.fileno()))
+        asyncio.run(PlatformDaemon(settings, path).run())
+    return 0
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run until SIGTERM; exit 2 for bad settings."""
     arguments = build_parser().parse_args(argv)
+    if arguments.platform:
+        return run_on_platform(arguments.settings, arguments.check)
     settings = load_settings(arguments.settings)
     if isinstance(settings, list):
         for line in settings:
@@ -55,6 +74,8 @@
         return EXIT_BAD_SETTINGS
     if arguments.check:
         return 0
+    from geraniumlead_server.daemon import Daemon
+
     configure_logging(settings)
     asyncio.run(Daemon.from_settings(settings).run())
     return 0
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/answers.py
@@ -0,0 +1,60 @@
+"""Write requests to upstreams and read what they answer."""
+
+from collections.abc import Iterable
+
+from geraniumlead.forwarding import (
+    AttemptResult,
+    Completed,
+    ForwardedRequest,
+    NotExecuted,
+    PossiblyExecuted,
+)
+from geraniumlead_server.platform.names import (
+    CONNECTION_HEADERS,
+    NOT_EXECUTED_HEADER,
+    OTHER_UPSTREAM_STATUS,
+    REQUEST_ID_HEADER,
+    SIGNATURE_HEADER,
+    UPSTREAM_ID_HEADER,
+    WAIT_HEADER,
+)
+
+_SIGNATURE = SIGNATURE_HEADER.lower()
+_NOT_EXECUTED = NOT_EXECUTED_HEADER.lower()
+_REQUEST_ID = REQUEST_ID_HEADER.lower()
+
+
+def attempt_headers(
+    request: ForwardedRequest, upstream_id: str, time_left_ms: float
+) -> list[tuple[str, str]]:
+    """Return the headers of one attempt."""
+    return [
+        *request.headers,
+        (WAIT_HEADER, str(max(1, int(time_left_ms)))),
+        (UPSTREAM_ID_HEADER, upstream_id),
+    ]
+
+
+def read_answer(
+    request: ForwardedRequest, status: int, headers: Iterable[tuple[str, str]], body: bytes
+) -> AttemptResult:
+    """Return what an upstream's whole answer means."""
+    kept = []
+    found: dict[str, str] = {}
+    for name, value in headers:
+        lower = name.lower()
+        found[lower] = value
+        if lower not in CONNECTION_HEADERS:
+            kept.append((name, value))
+    if status == OTHER_UPSTREAM_STATUS:
+        return NotExecuted(status, is_other_upstream=True)
+    if _NOT_EXECUTED in found:
+        return NotExecuted(status)
+    if found.get(_REQUEST_ID, request.request_id) != request.request_id:
+        return PossiblyExecuted("answer to another request")
+    if "content-encoding" in found:
+        return PossiblyExecuted("encoded answer")
+    signature = found.get(_SIGNATURE)
+    if 200 <= status < 300 and not signature:
+        return PossiblyExecuted("success without signature")
+    return Completed(status, tuple(kept), body, signature)
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/requests.py
@@ -0,0 +1,77 @@
+"""Read callers' requests."""
+
+from dataclasses import dataclass
+
+from geraniumlead.forwarding import ForwardedRequest
+from geraniumlead_server.platform.names import (
+    CONNECTION_HEADERS,
+    REQUEST_ID_HEADER,
+    UPSTREAM_ID_HEADER,
+    WAIT_HEADER,
+)
+
+_REQUEST_ID = REQUEST_ID_HEADER.lower()
+_WAIT = WAIT_HEADER.lower()
+_OWN_HEADERS = CONNECTION_HEADERS | {_WAIT, UPSTREAM_ID_HEADER.lower(), "expect"}
+"""Not passed on as they came: this instance sets them, or answers them itself."""
+
+BAD_REQUEST = 400
+
+
+@dataclass(frozen=True, slots=True)
+class BadRequest:
+    """Say why a request cannot be taken."""
+
+    status: int
+    reason: str
+
+
+def read_request(
+    key: int, scope: dict, body: bytes, arrived_ms: float
+) -> ForwardedRequest | BadRequest:
+    """Return the request of an ASGI scope, with its target as the caller sent it."""
+    headers = []
+    host = request_id = ""
+    wait_ms = None
+    named = _named_by_connection(scope["headers"])
+    for raw_name, raw_value in scope["headers"]:
+        name, value = raw_name.decode("latin-1"), raw_value.decode("latin-1")
+        if name == "host":
+            host = value
+        elif name == _REQUEST_ID:
+            request_id = value
+        elif name == _WAIT:
+            wait_ms = _read_milliseconds(value)
+        if name not in _OWN_HEADERS and name not in named:
+            headers.append((name, value))
+    if not request_id:
+        return BadRequest(BAD_REQUEST, f"the header {REQUEST_ID_HEADER} is missing")
+    path = scope["raw_path"].decode("latin-1")
+    query = scope["query_string"].decode("latin-1")
+    return ForwardedRequest(
+        key=key,
+        request_id=request_id,
+        method=scope["method"],
+        host=host.lower(),
+        path=path,
+        target=f"{path}?{query}" if query else path,
+        headers=tuple(headers),
+        body=body,
+        arrived_ms=arrived_ms,
+        wait_ms=wait_ms,
+    )
+
+
+def _named_by_connection(headers: list[tuple[bytes, bytes]]) -> frozenset[str]:
+    """Return the headers that the caller declared to concern this connection only."""
+    values = [value for name, value in headers if name == b"connection"]
+    names = b",".join(values).decode("latin-1").lower().split(",")
+    return frozenset(name.strip() for name in names)
+
+
+def _read_milliseconds(value: str) -> float | None:
+    try:
+        found = float(value)
+    except ValueError:
+        return None
+    return found if found >= 0.0 else None
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
@@ -0,0 +1,153 @@
+"""Call the platform's store."""
+
+import logging
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+from msgspec import DecodeError, Struct, ValidationError, field
+from msgspec.json import Decoder
+
+from geraniumlead.forwarding import UpstreamWithdrawn
+from geraniumlead.forwarding.news import News
+from geraniumlead_server.platform.names import (
+    HISTORY_GONE_STATUS,
+    RANGE_PATH,
+    UPSTREAM_PREFIX,
+    WATCH_PATH,
+)
+from geraniumlead_server.platform.store_records import Unreadable, read_item
+
+CONNECT_TIMEOUT_S = 0.5
+READ_TIMEOUT_S = 2.0
+"""A slow store takes some hundred times its usual 4 ms."""
+
+WATCH_SLACK_S = 1.0
+"""How much longer than it should a watch may take; its connection then counts as silent."""
+
+READ_PREFIXES = ("op/", "servers/")
+
+logger = logging.getLogger("geraniumlead")
+
+
+class StoreError(Exception):
+    """Raised when the store gave no usable answer."""
+
+
+class HistoryGone(StoreError):
+    """Raised when the store no longer knows what changed since a revision."""
+
+
+class ItemBody(Struct, rename="camel"):
+    """Be a key, or its deletion; JSON text carries the value in base64."""
+
+    key: str
+    revision: int
+    value: bytes | None = None
+    deleted: bool = False
+
+
+class RangeBody(Struct):
+    """Be a page of keys. ``currentRev`` is the store's own revision."""
+
+    items: list[ItemBody]
+    revision: int = field(name="currentRev")
+    truncated: bool = False
+
+
+class WatchBody(Struct):
+    """Be what has changed."""
+
+    events: list[ItemBody]
+    revision: int = field(name="currentRev")
+
+
+_RANGE = Decoder(RangeBody)
+_WATCH = Decoder(WatchBody)
+
+
+class StoreClient:
+    """Read keys and wait for changes, over one address."""
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}"
+        self._session: ClientSession | None = None
+        self._revisions: dict[str, int] = {}
+        self._unreadable: set[tuple[str, str]] = set()
+
+    async def read_all(self) -> tuple[tuple[News, ...], int]:
+        """Return everything that stands in the store, and the revision to watch from.
+
+        The pages are no snapshot: what changes meanwhile is in the watch that follows.
+        """
+        found: list[News] = []
+        first_revision = None
+        self._revisions.clear()
+        for prefix in READ_PREFIXES:
+            after = ""
+            while True:
+                query = {"prefix": prefix, "after": after} if after else {"prefix": prefix}
+                page = await self._call(RANGE_PATH, query, READ_TIMEOUT_S, _RANGE)
+                first_revision = page.revision if first_revision is None else first_revision
+                found += self._read_items(page.items)
+                if not page.truncated or not page.items:
+                    break
+                after = page.items[-1].key
+        return tuple(found), first_revision or 0
+
+    async def watch(self, revision: int, wait_ms: int) -> tuple[tuple[News, ...], int]:
+        """Return what changed after a revision; raises HistoryGone when that is unknown."""
+        query = {"prefix": "", "after": str(revision), "waitMs": str(wait_ms)}
+        timeout_s = wait_ms / 1000.0 + WATCH_SLACK_S
+        found = await self._call(WATCH_PATH, query, timeout_s, _WATCH)
+        return tuple(self._read_items(found.events)), found.revision
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _call(self, path: str, query: dict, timeout_s: float, decoder: Decoder):
+        if self._session is None:
+            self._session = ClientSession(auto_decompress=False)
+        timeout = ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._session.get(
+                self._base + path, params=query, timeout=timeout
+            ) as response:
+                body = await response.read()
+        except (ClientError, OSError, TimeoutError) as error:
+            raise StoreError(type(error).__name__) from error
+        if response.status == HISTORY_GONE_STATUS:
+            raise HistoryGone("the history is gone")
+        if response.status != 200:
+            raise StoreError(f"status {response.status}")
+        try:
+            return decoder.decode(body)
+        except (DecodeError, ValidationError) as error:
+            raise StoreError(str(error)) from error
+
+    def _read_items(self, items: list[ItemBody]) -> list[News]:
+        found = []
+        for item in items:
+            # Pages of one reading differ in age: a watch from the first repeats what the last
+            # page knew already, and would turn an upstream back to what it was.
+            if item.revision < self._revisions.get(item.key, 0):
+                continue
+            self._revisions[item.key] = item.revision
+            news = read_item(item.key, None if item.deleted else item.value)
+            if isinstance(news, Unreadable):
+                self._log_unreadable(news)
+                if news.key.startswith(UPSTREAM_PREFIX):
+                    found.append(UpstreamWithdrawn(news.key.removeprefix(UPSTREAM_PREFIX)))
+            elif news is not None:
+                found.append(news)
+        return found
+
+    def _log_unreadable(self, unreadable: Unreadable) -> None:
+        seen = (unreadable.key, unreadable.reason)
+        if seen in self._unreadable:
+            return
+        if len(self._unreadable) > 1000:
+            self._unreadable.clear()
+        self._unreadable.add(seen)
+        fields = {"key": unreadable.key, "reason": unreadable.reason}
+        logger.warning("entry_skipped", extra={"fields": fields})
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/store_records.py
@@ -0,0 +1,199 @@
+"""Decode what stands in the platform's store."""
+
+from typing import Annotated, Literal
+
+from msgspec import DecodeError, Meta, Struct, ValidationError
+from msgspec.json import Decoder
+
+from geraniumlead.fleet import UpstreamRecord
+from geraniumlead.forwarding import (
+    ConfigurationSeen,
+    EvacuationSeen,
+    UpstreamSeen,
+    UpstreamWithdrawn,
+)
+from geraniumlead.forwarding.news import News
+from geraniumlead.routes import (
+    FanOut,
+    OneService,
+    PublishedConfiguration,
+    RequestLimits,
+    Route,
+    RouteTable,
+    RouteTarget,
+    SplitServices,
+    UpstreamService,
+)
+from geraniumlead_server.platform.names import (
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    UPSTREAM_PREFIX,
+)
+
+Name = Annotated[str, Meta(min_length=1)]
+Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+NotNegative = Annotated[float, Meta(ge=0)]
+
+SAFE = "safe"
+READY = "ready"
+
+
+class ServerBody(Struct, rename="camel"):
+    """Be an upstream's entry. Its ``version`` is that of its software; it is not used."""
+
+    service: Name
+    addr: Address
+    zone: Name
+    slots: Annotated[int, Meta(ge=1)]
+    state: Literal["ready", "draining"]
+    seq: int
+    version: str
+    warmup_left_ms: NotNegative = 0.0
+    born: int | None = None
+
+
+class WeightBody(Struct):
+    """Be one service of a split route."""
+
+    service: Name
+    weight: NotNegative
+
+
+class RouteBody(Struct, rename="camel"):
+    """Be a route. ``type`` says whether requests may be repeated.
+
+    ``oldest_version`` is no version: it is the least share of the shards in an answer.
+    ``fanout`` lists the shards.
+    """
+
+    name: str
+    hostname: str
+    prefix: str
+    type: str
+    timeout_ms: NotNegative
+    max_attempts: Annotated[int, Meta(ge=1)]
+    latency_goal_ms: NotNegative = 0.0
+    priority: int = 0
+    service: Name | None = None
+    traffic_split: list[WeightBody] | None = None
+    fanout: list[Name] | None = None
+    top_k: Annotated[int, Meta(ge=0)] = 0
+    oldest_version: Annotated[float, Meta(ge=0, le=1)] = 0.0
+    allowed_regions: list[str] = []
+
+
+class ServiceBody(Struct, rename="camel"):
+    """Be a service. ``max_conns`` counts the connections of all callers together."""
+
+    name: Name
+    max_conns: Annotated[int, Meta(ge=0)] = 0
+    warmup_per_s: NotNegative = 0.0
+
+
+class LimitsBody(Struct, rename="camel", frozen=True):
+    """Be the limits on what a caller sends."""
+
+    max_header_bytes: int = RequestLimits().header_bytes
+    max_body_bytes: int = RequestLimits().body_bytes
+    header_timeout_ms: float = RequestLimits().header_timeout_ms
+    idle_timeout_ms: float = RequestLimits().idle_timeout_ms
+
+
+class ConfigurationBody(Struct, rename="camel"):
+    """Be the operators' configuration."""
+
+    version: int
+    routes: list[RouteBody]
+    services: list[ServiceBody]
+    limits: LimitsBody = LimitsBody()
+
+
+_SERVER = Decoder(ServerBody)
+_CONFIGURATION = Decoder(ConfigurationBody)
+
+
+class Unreadable(Struct, frozen=True):
+    """Say why the value of a key was not understood."""
+
+    key: str
+    reason: str
+
+
+def read_item(key: str, value: bytes | None) -> News | Unreadable | None:
+    """Return what a key's value says; None for keys of no interest.
+
+    ``value`` is None when the key was deleted.
+    """
+    if key.startswith(UPSTREAM_PREFIX):
+        upstream_id = key.removeprefix(UPSTREAM_PREFIX)
+        if value is None:
+            return UpstreamWithdrawn(upstream_id)
+        return _read_upstream(key, upstream_id, value)
+    if key.startswith(EVACUATION_PREFIX):
+        return EvacuationSeen(key.removeprefix(EVACUATION_PREFIX), value is not None)
+    if key == CONFIGURATION_KEY and value is not None:
+        return _read_configuration(value)
+    return None
+
+
+def _read_upstream(key: str, upstream_id: str, value: bytes) -> News | Unreadable:
+    try:
+        body = _SERVER.decode(value)
+    except (DecodeError, ValidationError, UnicodeDecodeError, RecursionError) as error:
+        return Unreadable(key, str(error))
+    return UpstreamSeen(
+        UpstreamRecord(
+            upstream_id=upstream_id,
+            service=body.service,
+            address=body.addr,
+            data_centre=body.zone,
+            slots=body.slots,
+            is_ready=body.state == READY,
+            cold_left_ms=body.warmup_left_ms,
+            started_ms=body.born,
+        )
+    )
+
+
+def _read_configuration(value: bytes) -> News | Unreadable:
+    try:
+        body = _CONFIGURATION.decode(value)
+        routes = RouteTable([_read_route(route) for route in body.routes])
+    except (DecodeError, ValidationError, UnicodeDecodeError, RecursionError) as error:
+        return Unreadable(CONFIGURATION_KEY, str(error))
+    services = {
+        found.name: UpstreamService(found.name, found.max_conns, found.warmup_per_s)
+        for found in body.services
+    }
+    limits = RequestLimits(
+        header_bytes=body.limits.max_header_bytes,
+        body_bytes=body.limits.max_body_bytes,
+        header_timeout_ms=body.limits.header_timeout_ms,
+        idle_timeout_ms=body.limits.idle_timeout_ms,
+    )
+    return ConfigurationSeen(PublishedConfiguration(body.version, routes, services, limits))
+
+
+def _read_route(body: RouteBody) -> Route:
+    return Route(
+        name=body.name,
+        host=body.hostname.lower(),
+        prefix=body.prefix,
+        target=_read_target(body),
+        is_idempotent=body.type == SAFE,
+        timeout_ms=body.timeout_ms,
+        latency_goal_ms=body.latency_goal_ms or body.timeout_ms,
+        priority=body.priority,
+        most_upstreams=body.max_attempts,
+        allowed_regions=frozenset(body.allowed_regions),
+    )
+
+
+def _read_target(body: RouteBody) -> RouteTarget:
+    if body.fanout:
+        return FanOut(tuple(body.fanout), body.top_k, body.oldest_version)
+    if body.traffic_split:
+        return SplitServices(tuple((item.service, item.weight) for item in body.traffic_split))
+    if body.service:
+        return OneService(body.service)
+    raise ValidationError(f"the route {body.name} names no service")
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -0,0 +1,167 @@
+"""Assemble one instance on the users' platform and run it on one loop."""
+
+import asyncio
+import logging
+import signal
+from pathlib import Path
+from random import Random, SystemRandom
+
+import falcon.asgi
+from msgspec import DecodeError, ValidationError
+
+from geraniumlead.forwarding import (
+    CancelAttempt,
+    Forwarder,
+    ForwardingAction,
+    StartAttempt,
+)
+from geraniumlead.settings import PlatformSettings
+from geraniumlead_server.forwarding_driver import ForwardingDriver
+from geraniumlead_server.forwarding_front import (
+    build_forwarding_app,
+    build_ready_app,
+    protocol_with_limits,
+)
+from geraniumlead_server.logs import DecisionLog
+from geraniumlead_server.platform import StoreClient
+from geraniumlead_server.store_follower import StoreFollower
+from geraniumlead_server.telemetry import ForwardingMetrics, MetricsPage
+from geraniumlead_server.upstream_client.attempt_client import AttemptClient
+from geraniumlead_server.web_server import WebServer
+
+SPARE_CONNECTIONS = 2_000
+"""Callers' connections; with two upstream connections each they stay below 4,100 descriptors."""
+
+OTHER_CONNECTIONS = 50
+
+NOTICE_PART = 0.4
+"""Part of the time for a stop in which new requests are still taken: the balancer asks once a
+second and believes the second refusal, and callers on open connections are told to leave."""
+
+END_PART = 0.85
+"""Part of the time for a stop after which open requests get their last answer."""
+
+SETTINGS_CHECK_S = 1.0
+
+logger = logging.getLogger("geraniumlead")
+
+
+def load_platform_settings(path: Path) -> PlatformSettings | str:
+    """Return the settings in a file, or what is wrong with it."""
+    try:
+        return PlatformSettings.from_json(path.read_bytes())
+    except OSError as error:
+        return f"cannot read {path}: {error.strerror}"
+    except (DecodeError, ValidationError, RecursionError) as error:
+        return f"{path}: {error}"
+
+
+class PlatformDaemon:
+    """Run one instance until it was asked to stop and its work has ended."""
+
+    def __init__(self, settings: PlatformSettings, path: Path) -> None:
+        self._settings = settings
+        self._path = path
+        seed = settings.seed if settings.seed is not None else SystemRandom().getrandbits(64)
+        self._random = Random(seed)
+        self._stopping = asyncio.Event()
+        self._settings_text = b""
+
+    async def run(self) -> None:
+        """Serve, and return after a graceful stop."""
+        self._loop = asyncio.get_running_loop()
+        forwarder = Forwarder(self._settings.to_forwarding(), self._random)
+        self._driver = ForwardingDriver(forwarder, self._carry_out)
+        self._attempts = AttemptClient(self._driver.handle)
+        self._store = StoreClient(self._settings.store)
+        servers = self._build_servers()
+        self._loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        self._loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        tasks = [server.start() for server in servers]
+        background = [
+            self._loop.create_task(self._follow_store()),
+            self._loop.create_task(self._watch_settings()),
+        ]
+        logger.info("started", extra={"fields": {"seeds": len(self._settings.seeds)}})
+        await self._stopping.wait()
+        await self._stop(servers, tasks)
+        for task in background:
+            task.cancel()
+        await self._attempts.close()
+        await self._store.close()
+        logger.info("stopped")
+
+    def _build_servers(self) -> list[WebServer]:
+        page = MetricsPage()
+        metrics = ForwardingMetrics(self._driver.forwarder, page.reader)
+        log = DecisionLog(self._driver.now_ms())
+        self._driver.observers += [
+            metrics.observe,
+            lambda decision: log.observe(decision, self._driver.now_ms()),
+        ]
+        metrics_app = falcon.asgi.App()
+        metrics_app.add_route("/metrics", page)
+        listen = self._settings.listen
+        front = build_forwarding_app(self._driver)
+        protocol = protocol_with_limits(lambda: self._driver.limits)
+        ready = build_ready_app(self._driver)
+        return [
+            WebServer.from_address(front, listen.callers, SPARE_CONNECTIONS, protocol),
+            WebServer.from_address(ready, listen.ready, OTHER_CONNECTIONS),
+            WebServer.from_address(metrics_app, listen.metrics, OTHER_CONNECTIONS),
+        ]
+
+    async def _follow_store(self) -> None:
+        bounds = self._settings.bounds
+        bound_ms = min(bounds.drain_ms, bounds.configuration_ms, bounds.evacuation_ms)
+        follower = StoreFollower(self._store, bound_ms, self._driver.handle, self._random)
+        await follower.run()
+
+    async def _stop(self, servers: list[WebServer], tasks: list[asyncio.Task]) -> None:
+        """Leave the balancer, take what still comes for a while, and end what is open."""
+        forwarder = self._driver.forwarder
+        forwarder.is_stopping = True
+        logger.info("stopping", extra={"fields": {"open_requests": forwarder.open_requests}})
+        began_s = self._loop.time()
+        stop_s = self._settings.bounds.stop_s
+        await asyncio.sleep(NOTICE_PART * stop_s)
+        servers[0].should_exit = True
+        while forwarder.open_requests and self._loop.time() - began_s < END_PART * stop_s:
+            await asyncio.sleep(0.05)
+        self._driver.carry_out_all(forwarder.end_all(self._driver.now_ms()))
+        for server in servers:
+            server.should_exit = True
+        await asyncio.wait(tasks, timeout=max(0.1, 0.95 * stop_s - (self._loop.time() - began_s)))
+
+    async def _watch_settings(self) -> None:
+        """Take over a settings file that changes without a signal."""
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            self._reload()
+
+    def _reload(self) -> None:
+        try:
+            text = self._path.read_bytes()
+        except OSError as error:
+            logger.warning("settings_unreadable", extra={"fields": {"detail": str(error)}})
+            return
+        if text == self._settings_text:
+            return
+        is_first, self._settings_text = not self._settings_text, text
+        found = load_platform_settings(self._path)
+        if isinstance(found, str):
+            logger.warning("settings_refused", extra={"fields": {"detail": found}})
+            return
+        if is_first and found == self._settings:
+            return
+        self._settings = found
+        self._driver.forwarder.apply_settings(found.to_forwarding())
+        logger.info("settings_reloaded")
+
+    def _carry_out(self, action: ForwardingAction) -> None:
+        match action:
+            case StartAttempt():
+                self._attempts.start(action)
+            case CancelAttempt(attempt_id=attempt_id):
+                self._attempts.cancel(attempt_id)
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/telemetry/forwarding_metrics.py
@@ -0,0 +1,74 @@
+"""Record OpenTelemetry metrics of forwarded requests."""
+
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import MetricReader
+
+from geraniumlead.forwarding import Forwarder, LogDecision
+from geraniumlead_server.telemetry.metrics import LATENCY_BOUNDS_MS
+
+MOST_ROUTES = 200
+"""Routes with labels of their own; a configuration that grows by hundreds shares one more."""
+
+OTHER_ROUTES = "other"
+
+
+class ForwardingMetrics:
+    """Count requests by route, status and reason, and their latencies by route."""
+
+    def __init__(self, forwarder: Forwarder, reader: MetricReader) -> None:
+        self._forwarder = forwarder
+        self._routes: set[str] = set()
+        meter = MeterProvider([reader], shutdown_on_exit=False).get_meter("geraniumlead")
+        self._latency = meter.create_histogram(
+            "geraniumlead_forwarded_latency",
+            unit="ms",
+            description="time from arrival to reply",
+            explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_MS,
+        )
+        self._requests = meter.create_counter("geraniumlead_forwarded_requests")
+        self._extra = meter.create_counter("geraniumlead_extra_attempts")
+        self._missing = meter.create_counter("geraniumlead_missing_shards")
+        self._beliefs = meter.create_counter("geraniumlead_view_changes")
+        for name, read in (
+            ("geraniumlead_open_requests", lambda: forwarder.open_requests),
+            ("geraniumlead_ready", lambda: int(forwarder.is_ready)),
+            ("geraniumlead_config_version", self._read_version),
+            ("geraniumlead_store_lost", lambda: int(forwarder.published.is_store_lost)),
+        ):
+            meter.create_observable_gauge(name, callbacks=[_observer_of(read)])
+
+    def observe(self, decision: LogDecision) -> None:
+        """Record one decision."""
+        fields = decision.fields
+        if decision.name != "request":
+            self._beliefs.add(1, {"change": decision.name})
+            return
+        labels = {"route": self._label_of(fields.get("route", "none"))}
+        status = str(fields.get("status", "none"))
+        self._requests.add(1, {**labels, "status": status})
+        if "latency_ms" in fields:
+            self._latency.record(fields["latency_ms"], labels)
+        if fields.get("extra"):
+            self._extra.add(fields["extra"], labels)
+        if fields.get("missing"):
+            self._missing.add(len(fields["missing"]), labels)
+
+    def _label_of(self, route: str) -> str:
+        if route in self._routes:
+            return route
+        if len(self._routes) >= MOST_ROUTES:
+            return OTHER_ROUTES
+        self._routes.add(route)
+        return route
+
+    def _read_version(self) -> int:
+        configuration = self._forwarder.published.configuration
+        return 0 if configuration is None else configuration.version
+
+
+def _observer_of(read):
+    def observe(options: CallbackOptions):
+        return [Observation(read())]
+
+    return observe
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/attempt_client.py
@@ -0,0 +1,98 @@
+"""Carry out attempts of opaque requests with aiohttp."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from aiohttp import ClientError, ClientSession, ClientTimeout, DummyCookieJar
+from aiohttp.client_exceptions import ClientConnectorError, ConnectionTimeoutError
+from yarl import URL
+
+from geraniumlead.forwarding import (
+    AttemptEnded,
+    AttemptResult,
+    NotReached,
+    PossiblyExecuted,
+    StartAttempt,
+)
+from geraniumlead_server.platform import REQUEST_ID_HEADER, attempt_headers, read_answer
+from geraniumlead_server.upstream_client.attempt_connections import (
+    IDLE_S,
+    AttemptConnector,
+    AttemptRequest,
+)
+
+CONNECT_TIMEOUT_S = 0.5
+"""The longest way between regions and back takes 40 ms, a busy upstream some 10 ms more; an
+upstream without power never answers, and another one has to be asked in time."""
+
+logger = logging.getLogger("geraniumlead")
+
+
+class AttemptClient:
+    """Run each attempt as a task and report its end once, unless it is cancelled before."""
+
+    def __init__(self, report: Callable[[AttemptEnded], None]) -> None:
+        self._report = report
+        self._loop = asyncio.get_running_loop()
+        self._tasks: dict[int, asyncio.Task] = {}
+        self._session: ClientSession | None = None
+
+    def start(self, action: StartAttempt) -> None:
+        """Start an attempt."""
+        self._tasks[action.attempt_id] = self._loop.create_task(self._run(action))
+
+    def cancel(self, attempt_id: int) -> None:
+        """End an attempt without a report; its closed connection tells the upstream."""
+        task = self._tasks.pop(attempt_id, None)
+        if task is not None:
+            task.cancel()
+
+    async def close(self) -> None:
+        """Cancel what runs and close all connections."""
+        for task in self._tasks.values():
+            task.cancel()
+        if self._session is not None:
+            await self._session.close()
+
+    async def _run(self, action: StartAttempt) -> None:
+        result = await self._exchange(action)
+        if self._tasks.pop(action.attempt_id, None) is not None:
+            self._report(AttemptEnded(action.attempt_id, result))
+
+    async def _exchange(self, action: StartAttempt) -> AttemptResult:
+        request, upstream = action.request, action.upstream
+        url = URL(f"http://{upstream.address}{request.target}", encoded=True)
+        headers = attempt_headers(request, upstream.upstream_id, action.time_left_ms)
+        try:
+            async with self._client().request(
+                request.method,
+                url,
+                data=request.body or None,
+                headers=headers,
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+                return read_answer(request, response.status, response.headers.items(), body)
+        except (ClientConnectorError, ConnectionTimeoutError) as error:
+            return NotReached(type(error).__name__)
+        except (ClientError, OSError, ValueError) as error:
+            return PossiblyExecuted(type(error).__name__)
+
+    def _client(self) -> ClientSession:
+        if self._session is None:
+            connector = AttemptConnector(
+                REQUEST_ID_HEADER, limit=0, keepalive_timeout=IDLE_S, use_dns_cache=False
+            )
+            self._session = ClientSession(
+                connector=connector,
+                request_class=AttemptRequest,
+                auto_decompress=False,
+                cookie_jar=DummyCookieJar(),
+                skip_auto_headers=("Accept", "Accept-Encoding", "Content-Type", "User-Agent"),
+                timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            )
+            # aiohttp sends a GET again when a kept connection breaks. Whether a request may
+            # be repeated is not for its method to say: it would run twice.
+            self._session._retry_connection = False
+        return self._session
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/attempt_connections.py
@@ -0,0 +1,97 @@
+"""Keep connections on which every answer belongs to its request."""
+
+import asyncio
+
+from aiohttp import ClientPayloadError, ClientRequest, TCPConnector
+from aiohttp.client_proto import ResponseHandler
+
+IDLE_S = 30.0
+"""Time after which an idle connection is closed here, where the upstream names no time."""
+
+IDLE_MARGIN_S = 1.0
+"""Kept from the time that an upstream names: its clock starts earlier, and it counts in whole
+seconds. A request that crosses the close may or may not have run."""
+
+
+class AttemptConnection(ResponseHandler):
+    """Be a connection that drops answers to other requests.
+
+    Failure: an upstream sends a second answer to an old request, late, on a kept connection.
+    Taken for the next request's it reaches the wrong caller. The answer's request id tells
+    them apart; and a connection with unasked bytes is not used again.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, id_header: str) -> None:
+        super().__init__(loop)
+        self._id_header = id_header
+        self._expected_id: str | None = None
+        self._answered_s = loop.time()
+        self._idle_s = IDLE_S
+
+    def expect(self, request_id: str | None) -> None:
+        """Take only answers with this id, or without one, from now on."""
+        self._expected_id = request_id
+
+    def feed_data(self, data, size: int = 0) -> None:
+        """Queue an answer, unless it belongs to another request."""
+        message = data[0]
+        found_id = message.headers.get(self._id_header)
+        if found_id is not None and found_id != self._expected_id:
+            self.force_close()
+            return
+        self._answered_s = self._loop.time()
+        self._idle_s = _read_idle_s(message.headers.get("Keep-Alive"))
+        super().feed_data(data, size)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an answer without length whose connection is reset.
+
+        Such an answer ends with its connection; aiohttp takes a reset for that end, and half
+        an answer would look whole.
+        """
+        if exc is not None and self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(ClientPayloadError("connection reset in an answer"))
+        super().connection_lost(exc)
+
+    def is_usable(self) -> bool:
+        """Return whether the idle connection may carry another request."""
+        idle_s = self._loop.time() - self._answered_s
+        return self.is_connected() and not self.should_close and idle_s < self._idle_s
+
+
+class AttemptConnector(TCPConnector):
+    """Pool connections as usual, but hand out only those that are still sound.
+
+    aiohttp looks at unasked bytes only when a connection is given back, not when they come
+    later; it has no public hook for either, so its protocol factory and its look-up are
+    replaced, and a test fails when a new version no longer uses them.
+    """
+
+    def __init__(self, id_header: str, **options) -> None:
+        super().__init__(**options)
+        self._factory = lambda: AttemptConnection(self._loop, id_header)
+
+    async def _get(self, key, traces):
+        while (connection := await super()._get(key, traces)) is not None:
+            if connection.protocol.is_usable():
+                return connection
+            connection.close()
+        return None
+
+
+class AttemptRequest(ClientRequest):
+    """Tell the connection which request's answer comes next."""
+
+    async def send(self, conn):
+        """Write the request."""
+        conn.protocol.expect(self.headers.get(conn.protocol._id_header))
+        return await super().send(conn)
+
+
+def _read_idle_s(keep_alive: str | None) -> float:
+    """Return how long a connection may idle, from a Keep-Alive header."""
+    for part in (keep_alive or "").split(","):
+        name, _, value = part.partition("=")
+        if name.strip().lower() == "timeout" and value.strip().isdigit():
+            return max(0.0, float(value) - IDLE_MARGIN_S)
+    return IDLE_S
--- a/packages/geraniumlead-server/src/geraniumlead_server/web_server.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/web_server.py
@@ -13,7 +13,13 @@
     """Serve one application; the daemon itself handles signals."""
 
     @classmethod
-    def from_address(cls, app, address: str, most_connections: int) -> "WebServer":
+    def from_address(
+        cls,
+        app,
+        address: str,
+        most_connections: int,
+        protocol: type[BoundedProtocol] = BoundedProtocol,
+    ) -> "WebServer":
         """Build a server for an application and an ``IP:port`` address.
 
         Above ``most_connections`` a request is answered 503 without reaching the application.
@@ -27,8 +33,10 @@
             access_log=False,
             lifespan="off",
             timeout_keep_alive=75,
+            date_header=False,
+            server_header=False,
             timeout_graceful_shutdown=GRACEFUL_SECONDS,
-            http=BoundedProtocol,
+            http=protocol,
             ws="none",
             limit_concurrency=most_connections,
         )
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/__init__.py
@@ -0,0 +1,66 @@
+"""Forward opaque requests: to one upstream, or to one of every shard."""
+
+from geraniumlead.forwarding.actions import (
+    CancelAttempt,
+    ForwardingAction,
+    LogDecision,
+    SendReply,
+    StartAttempt,
+)
+from geraniumlead.forwarding.events import (
+    AttemptEnded,
+    CallerLeft,
+    ForwardingEvent,
+    PublishedNews,
+    RequestArrived,
+    StoreLost,
+    TimePassed,
+)
+from geraniumlead.forwarding.forwarded_request import ForwardedRequest
+from geraniumlead.forwarding.forwarder import Forwarder
+from geraniumlead.forwarding.forwarding_settings import ForwardingSettings
+from geraniumlead.forwarding.news import (
+    ConfigurationSeen,
+    EvacuationSeen,
+    UpstreamSeen,
+    UpstreamWithdrawn,
+)
+from geraniumlead.forwarding.replies import MergedReply, OwnReply, RelayedReply, Reply
+from geraniumlead.forwarding.results import (
+    AttemptResult,
+    Completed,
+    NotExecuted,
+    NotReached,
+    PossiblyExecuted,
+)
+
+__all__ = [
+    "AttemptEnded",
+    "AttemptResult",
+    "CallerLeft",
+    "CancelAttempt",
+    "Completed",
+    "ConfigurationSeen",
+    "EvacuationSeen",
+    "ForwardedRequest",
+    "Forwarder",
+    "ForwardingAction",
+    "ForwardingEvent",
+    "ForwardingSettings",
+    "LogDecision",
+    "MergedReply",
+    "NotExecuted",
+    "NotReached",
+    "OwnReply",
+    "PossiblyExecuted",
+    "PublishedNews",
+    "RelayedReply",
+    "Reply",
+    "RequestArrived",
+    "SendReply",
+    "StartAttempt",
+    "StoreLost",
+    "TimePassed",
+    "UpstreamSeen",
+    "UpstreamWithdrawn",
+]
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/actions.py
@@ -0,0 +1,44 @@
+"""Define the output of the forwarder."""
+
+from dataclasses import dataclass
+
+from geraniumlead.fleet import UpstreamRecord
+from geraniumlead.forwarding.forwarded_request import ForwardedRequest
+from geraniumlead.forwarding.replies import Reply
+
+
+@dataclass(frozen=True, slots=True)
+class StartAttempt:
+    """Send a request to an upstream; it has ``time_left_ms`` to answer."""
+
+    attempt_id: int
+    upstream: UpstreamRecord
+    request: ForwardedRequest
+    time_left_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Close an attempt's connection; its end is of no interest any more."""
+
+    attempt_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendReply:
+    """Give a caller its answer."""
+
+    key: int
+    reply: Reply
+
+
+@dataclass(frozen=True, slots=True)
+class LogDecision:
+    """Write one line: ``fields`` are the inputs that decided, and the outcome."""
+
+    name: str
+    fields: dict
+    level: str = "info"
+
+
+ForwardingAction = StartAttempt | CancelAttempt | SendReply | LogDecision
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/closing.py
@@ -0,0 +1,39 @@
+"""Decide the reply that ends a request."""
+
+from geraniumlead.forwarding.merge import merge_greatest
+from geraniumlead.forwarding.open_request import OpenRequest
+from geraniumlead.forwarding.replies import MergedReply, OwnReply, RelayedReply, Reply
+from geraniumlead.routes import FanOut
+
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+
+
+def decide_reply(opened: OpenRequest, reason: str, retry_after_ms: float) -> Reply:
+    """Return what the caller gets of a request that ends now.
+
+    503 says that nothing ran, so it is given only when surely nothing did; else 504 when the
+    time was over, or 502, which promise nothing.
+    """
+    match opened.route.target:
+        case FanOut(record_count=record_count) if opened.has_enough:
+            return _merge(opened, record_count)
+        case FanOut():
+            pass
+        case _:
+            leg = opened.legs[0]
+            found = leg.answer or leg.failed_answer
+            if found is not None:
+                return RelayedReply(found)
+    if not opened.may_have_run:
+        return OwnReply(UNAVAILABLE, reason, retry_after_ms)
+    status = GATEWAY_TIMEOUT if reason == "timeout" else BAD_GATEWAY
+    return OwnReply(status, reason)
+
+
+def _merge(opened: OpenRequest, record_count: int) -> MergedReply:
+    answers = [leg.answer for leg in opened.legs if leg.answer is not None]
+    signatures = tuple(answer.signature for answer in answers if answer.signature)
+    records = merge_greatest((answer.body for answer in answers), record_count)
+    return MergedReply(signatures, len(opened.legs) - len(answers), records)
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/events.py
@@ -0,0 +1,54 @@
+"""Define the input of the forwarder."""
+
+from dataclasses import dataclass
+
+from geraniumlead.forwarding.forwarded_request import ForwardedRequest
+from geraniumlead.forwarding.news import News
+from geraniumlead.forwarding.results import AttemptResult
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A caller sent a whole request."""
+
+    request: ForwardedRequest
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """A caller closed its connection before it had its answer."""
+
+    key: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt at an upstream ended."""
+
+    attempt_id: int
+    result: AttemptResult
+
+
+@dataclass(frozen=True, slots=True)
+class PublishedNews:
+    """The store was read: ``is_snapshot`` when everything that stands there is in ``news``."""
+
+    news: tuple[News, ...]
+    is_snapshot: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLost:
+    """The store did not answer for a while."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class TimePassed:
+    """A time came that ``next_wake_ms`` had named."""
+
+
+ForwardingEvent = (
+    RequestArrived | CallerLeft | AttemptEnded | PublishedNews | StoreLost | TimePassed
+)
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
@@ -0,0 +1,25 @@
+"""Define an opaque request."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class ForwardedRequest:
+    """Hold a caller's request, which is passed on unchanged.
+
+    ``key`` is unique in this process; ``request_id`` is the caller's own and may repeat.
+    ``target`` is path and query as they were sent. ``headers`` leave out those of one
+    connection. Times are of the monotonic clock, in milliseconds; ``wait_ms`` is how long
+    the caller said it waits.
+    """
+
+    key: int
+    request_id: str
+    method: str
+    host: str
+    path: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    arrived_ms: float
+    wait_ms: float | None
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarding_settings.py
@@ -0,0 +1,28 @@
+"""Define the figures that the forwarder is bound by."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardingSettings:
+    """Hold what the platform promises and demands of one instance.
+
+    ``extra_share`` and ``extra_slack`` bound the requests that all instances together may
+    send beyond the first of each: the share of the requests for a service in a window of
+    ``extra_window_ms``, plus the slack. ``regions`` maps each data centre to its region.
+    """
+
+    instance_id: str
+    data_centre: str
+    regions: dict[str, str] = field(default_factory=dict)
+    extra_share: float = 0.1
+    extra_slack: float = 0.0
+    extra_window_ms: float = 10_000.0
+    cold_rate_factor: float = 1.0
+    cold_rate_slack: float = 0.0
+    drain_ms: float = 4_000.0
+
+    @property
+    def region(self) -> str | None:
+        """Return the region of this instance."""
+        return self.regions.get(self.data_centre)
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/published_state.py
@@ -0,0 +1,139 @@
+"""Follow what operators and upstreams publish."""
+
+from geraniumlead.fleet import FleetView, UpstreamRecord
+from geraniumlead.forwarding.actions import ForwardingAction, LogDecision
+from geraniumlead.forwarding.events import PublishedNews
+from geraniumlead.forwarding.news import (
+    ConfigurationSeen,
+    EvacuationSeen,
+    UpstreamSeen,
+    UpstreamWithdrawn,
+)
+from geraniumlead.forwarding.upstream_chooser import UpstreamChooser
+from geraniumlead.routes import PublishedConfiguration
+
+AWAY_MS = 1_000.0
+"""Silence of the store after which entries may have lapsed; shorter gaps are single losses."""
+
+
+class PublishedState:
+    """Hold the configuration in force and the fleet, and log each change of belief.
+
+    A version only ever replaces a lower one, so neither a stale read nor a lost answer can
+    bring an old configuration back.
+    """
+
+    __slots__ = ("_actions", "_chooser", "_fleet", "_lost_since_ms", "configuration", "seen_ms")
+
+    def __init__(
+        self, fleet: FleetView, chooser: UpstreamChooser, actions: list[ForwardingAction]
+    ) -> None:
+        self._fleet = fleet
+        self._chooser = chooser
+        self._actions = actions
+        self._lost_since_ms: float | None = None
+        self.configuration: PublishedConfiguration | None = None
+        self.seen_ms = float("-inf")
+
+    @property
+    def can_serve(self) -> bool:
+        """Return whether a configuration is in force and any upstream is known."""
+        return self.configuration is not None and len(self._fleet) > 0
+
+    @property
+    def is_store_lost(self) -> bool:
+        """Return whether the last call to the store failed."""
+        return self._lost_since_ms is not None
+
+    def take(self, event: PublishedNews, now_ms: float) -> None:
+        """Take over what was read."""
+        self._note_answered(now_ms)
+        for item in event.news:
+            match item:
+                case ConfigurationSeen(configuration=configuration):
+                    self._take_configuration(configuration, now_ms)
+                case UpstreamSeen(record=record):
+                    self._take_upstream(record)
+                case UpstreamWithdrawn(upstream_id=upstream_id):
+                    self._withdraw(upstream_id, now_ms)
+                case EvacuationSeen(data_centre=name, is_evacuated=True):
+                    self._set_evacuated(self._fleet.evacuated | {name})
+                case EvacuationSeen(data_centre=name):
+                    self._set_evacuated(self._fleet.evacuated - {name})
+        if event.is_snapshot:
+            self._drop_missing(event, now_ms)
+
+    def note_lost(self, detail: str, now_ms: float) -> None:
+        """Note that the store does not answer; what it said last stays in force."""
+        if self._lost_since_ms is None:
+            self._lost_since_ms = now_ms
+            self._log("store_lost", {"detail": detail, "upstreams": len(self._fleet)}, "warning")
+
+    def expire(self, now_ms: float) -> None:
+        """Forget the upstreams whose entries lapsed and did not come back."""
+        for upstream_id in self._fleet.expire(now_ms):
+            self._chooser.forget(upstream_id)
+            self._log("upstream_left", {"upstream": upstream_id, "cause": "lapsed"})
+
+    def next_wake_ms(self) -> float:
+        """Return when ``expire`` has to be called."""
+        wake_ms = self._fleet.next_wake_ms()
+        return float("inf") if wake_ms is None else wake_ms
+
+    def _note_answered(self, now_ms: float) -> None:
+        if self._lost_since_ms is not None:
+            away_ms = now_ms - self._lost_since_ms
+            if away_ms >= AWAY_MS:
+                self._fleet.note_platform_returned(now_ms)
+            self._log("store_regained", {"away_ms": round(away_ms)})
+            self._lost_since_ms = None
+        self.seen_ms = now_ms
+
+    def _take_configuration(self, found: PublishedConfiguration, now_ms: float) -> None:
+        current = self.configuration
+        if current is not None and found.version <= current.version:
+            return
+        self.configuration = found
+        before = None if current is None else current.version
+        self._log("configuration", {"version": found.version, "before": before})
+
+    def _take_upstream(self, record: UpstreamRecord) -> None:
+        before = self._fleet.put(record)
+        if before is not None and before.is_same_life(record):
+            if before.is_ready != record.is_ready:
+                fields = {"upstream": record.upstream_id, "ready": record.is_ready}
+                self._log("upstream_changed", fields)
+            return
+        self._chooser.forget(record.upstream_id)
+        fields = {
+            "upstream": record.upstream_id,
+            "service": record.service,
+            "data_centre": record.data_centre,
+            "ready": record.is_ready,
+            "cold_left_ms": record.cold_left_ms,
+        }
+        self._log("upstream_entered", fields)
+
+    def _withdraw(self, upstream_id: str, now_ms: float) -> None:
+        if self._fleet.remove(upstream_id, now_ms):
+            self._chooser.forget(upstream_id)
+            self._log("upstream_left", {"upstream": upstream_id, "cause": "withdrawn"})
+
+    def _set_evacuated(self, names: frozenset[str]) -> None:
+        if names != self._fleet.evacuated:
+            self._fleet.set_evacuated(names)
+            self._log("evacuated", {"data_centres": sorted(names)})
+
+    def _drop_missing(self, event: PublishedNews, now_ms: float) -> None:
+        listed = {item.record.upstream_id for item in event.news if isinstance(item, UpstreamSeen)}
+        for upstream_id in self._fleet.ids() - listed:
+            self._withdraw(upstream_id, now_ms)
+        evacuated = frozenset(
+            item.data_centre
+            for item in event.news
+            if isinstance(item, EvacuationSeen) and item.is_evacuated
+        )
+        self._set_evacuated(evacuated)
+
+    def _log(self, name: str, fields: dict, level: str = "info") -> None:
+        self._actions.append(LogDecision(name, fields, level))
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_line.py
@@ -0,0 +1,36 @@
+"""Tell the story of a request in one line of the log."""
+
+from geraniumlead.forwarding.open_request import OpenRequest
+from geraniumlead.forwarding.replies import MergedReply, OwnReply, RelayedReply, Reply
+
+
+def describe_request(
+    opened: OpenRequest, reason: str, reply: Reply | None, now_ms: float
+) -> tuple[dict, str]:
+    """Return the fields of a request's line, and its level."""
+    request = opened.request
+    fields = {
+        "request_id": request.request_id,
+        "route": opened.route.name,
+        "version": opened.configuration.version,
+        "latency_ms": round(now_ms - request.arrived_ms, 1),
+        "goal_left_ms": round(opened.goal_ms - now_ms, 1),
+        "reason": reason,
+        "legs": len(opened.legs),
+        "answered": opened.answered,
+        "extra": opened.extra,
+        "steps": opened.notes,
+    }
+    missing = [leg.service for leg in opened.legs if leg.answer is None]
+    if missing:
+        fields["missing"] = missing
+    match reply:
+        case RelayedReply(answer=answer):
+            fields["status"] = answer.status
+        case MergedReply():
+            fields["status"] = 200
+        case OwnReply(status=status, retry_after_ms=retry_after_ms):
+            fields["status"] = status
+            fields["retry_after_ms"] = retry_after_ms
+    is_good = fields.get("status") == 200 and not missing and now_ms <= opened.goal_ms
+    return fields, "info" if is_good else "warning"
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/results.py
@@ -0,0 +1,44 @@
+"""Define how one attempt at an upstream may end."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Completed:
+    """The upstream gave its whole answer to this request."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    signature: str | None
+
+    @property
+    def is_success(self) -> bool:
+        """Return whether it is a 2xx that the upstream signed."""
+        return 200 <= self.status < 300 and self.signature is not None
+
+
+@dataclass(frozen=True, slots=True)
+class NotExecuted:
+    """The upstream said that it did not run the request and never will."""
+
+    status: int
+    is_other_upstream: bool = False
+    """Another upstream answered at this address."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotReached:
+    """No connection came about, so nothing was sent."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class PossiblyExecuted:
+    """Something was sent and no whole answer came back: it may have run."""
+
+    detail: str
+
+
+AttemptResult = Completed | NotExecuted | NotReached | PossiblyExecuted
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/upstream_chooser.py
@@ -0,0 +1,115 @@
+"""Choose the upstream that a request is sent to."""
+
+from collections.abc import Collection
+from random import Random
+
+from geraniumlead.fleet import FleetView, UpstreamRecord
+from geraniumlead.forwarding.forwarding_settings import ForwardingSettings
+from geraniumlead.forwarding.upstream_estimate import UpstreamEstimate
+from geraniumlead.routes import Route, UpstreamService
+
+REGION_HANDICAP_MS = 30.0
+"""What an answer from another region has to be sooner by. Bytes between regions cost as much
+as all other means together, and the way there and back takes 16 to 40 ms."""
+
+FAILURE_COST_MS = 250.0
+"""What a failed attempt costs: about the goal of a query over all shards."""
+
+COLD_FACTOR = 1.6
+"""How much longer an upstream works shortly after its start."""
+
+JITTER_SHARE = 0.1
+"""Spread of the estimates, so that equals share the load."""
+
+LEAST_CONNECTIONS = 2
+
+
+class UpstreamChooser:
+    """Choose among the usable upstreams of a service the one that would answer first.
+
+    Load pattern: two upstreams a shard, each pausing for a quarter of a second now and then
+    and slow or failing for seconds; a few calls a second from each instance to each of them.
+    A choice by turns sends half of all calls to the slow one.
+    """
+
+    __slots__ = ("_estimates", "_fleet", "_instances", "_random", "_settings")
+
+    def __init__(self, settings: ForwardingSettings, fleet: FleetView, random: Random) -> None:
+        self._settings = settings
+        self._fleet = fleet
+        self._random = random
+        self._instances = 1
+        self._estimates: dict[str, UpstreamEstimate] = {}
+
+    def set_instances(self, count: int) -> None:
+        """Take over how many instances share the upstreams' connections."""
+        self._instances = max(1, count)
+
+    def apply_settings(self, settings: ForwardingSettings) -> None:
+        """Take over changed settings."""
+        self._settings = settings
+
+    def estimate_of(self, upstream_id: str) -> UpstreamEstimate:
+        """Return what is known of an upstream."""
+        estimate = self._estimates.get(upstream_id)
+        if estimate is None:
+            estimate = self._estimates[upstream_id] = UpstreamEstimate()
+        return estimate
+
+    def forget(self, upstream_id: str) -> None:
+        """Forget an upstream that is gone or began a new life; calls in flight stay counted."""
+        estimate = self._estimates.pop(upstream_id, None)
+        if estimate is not None and estimate.in_flight:
+            self._estimates[upstream_id] = UpstreamEstimate(in_flight=estimate.in_flight)
+
+    def choose(
+        self,
+        route: Route,
+        service: UpstreamService,
+        tried: Collection[str],
+        usual_ms: float,
+        now_ms: float,
+        only_good: bool = False,
+    ) -> UpstreamRecord | None:
+        """Return the best upstream that was not tried; None when none may be used.
+
+        ``only_good`` leaves out those that are passed over now.
+        """
+        most = self._connection_share(service)
+        best, best_ms = None, float("inf")
+        for record in self._fleet.usable(service.name):
+            estimate = self.estimate_of(record.upstream_id)
+            if record.upstream_id in tried or estimate.in_flight >= most:
+                continue
+            if not self._is_allowed(route, record):
+                continue
+            is_avoided = now_ms < estimate.avoid_until_ms
+            if is_avoided and only_good:
+                continue
+            expected_ms = self._expected_ms(record, estimate, usual_ms, now_ms)
+            if is_avoided:
+                expected_ms += FAILURE_COST_MS
+            if expected_ms < best_ms:
+                best, best_ms = record, expected_ms
+        return best
+
+    def _expected_ms(
+        self, record: UpstreamRecord, estimate: UpstreamEstimate, usual_ms: float, now_ms: float
+    ) -> float:
+        waiting = 1.0 + estimate.in_flight / max(1, record.slots)
+        expected_ms = usual_ms * estimate.slowness_at(now_ms) * waiting
+        if record.cold_left_ms > 0.0:
+            expected_ms *= COLD_FACTOR
+        expected_ms += FAILURE_COST_MS * estimate.failure_share_at(now_ms)
+        expected_ms *= 1.0 + JITTER_SHARE * self._random.random()
+        if self._settings.regions.get(record.data_centre) != self._settings.region:
+            expected_ms += REGION_HANDICAP_MS
+        return expected_ms
+
+    def _connection_share(self, service: UpstreamService) -> int:
+        return max(LEAST_CONNECTIONS, service.most_connections // self._instances)
+
+    def _is_allowed(self, route: Route, record: UpstreamRecord) -> bool:
+        if not route.allowed_regions:
+            return True
+        return self._settings.regions.get(record.data_centre) in route.allowed_regions
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/settings/platform_settings.py
@@ -0,0 +1,77 @@
+"""Define the settings file of one instance on the users' platform."""
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+from msgspec.json import decode
+
+from geraniumlead.forwarding.forwarding_settings import ForwardingSettings
+from geraniumlead.settings.listen import Address
+
+Milliseconds = Annotated[float, Meta(ge=0, le=3_600_000)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+
+
+class PlatformListenSettings(Struct, frozen=True, kw_only=True):
+    """Name an IP address and port for callers, the balancer's question, peers and metrics."""
+
+    callers: Address
+    ready: Address
+    peers: Address
+    metrics: Address
+
+
+class PlatformBoundSettings(Struct, frozen=True, kw_only=True):
+    """Set the bounds that the platform and its operators hold this instance to.
+
+    ``extra_share`` and ``extra_slack`` bound the requests sent beyond the first of each to a
+    service in ``extra_window_s``, over all instances.
+    """
+
+    drain_ms: Milliseconds
+    configuration_ms: Milliseconds
+    evacuation_ms: Milliseconds
+    stop_s: Annotated[float, Meta(gt=0, le=600)]
+    extra_share: Share
+    extra_slack: Annotated[float, Meta(ge=0)]
+    extra_window_s: Annotated[float, Meta(gt=0, le=600)]
+    cold_rate_factor: Annotated[float, Meta(ge=0)] = 1.0
+    cold_rate_slack: Annotated[float, Meta(ge=0)] = 0.0
+
+
+class PlatformSettings(Struct, frozen=True, kw_only=True):
+    """Tell one instance who it is, where it listens, and where the platform's store is.
+
+    ``data_centres`` maps each data centre to its region. Unknown fields are ignored: the
+    platform adds some at times.
+    """
+
+    instance_id: Annotated[str, Meta(min_length=1, max_length=200)]
+    data_centre: Annotated[str, Meta(min_length=1, max_length=200)]
+    data_centres: dict[str, str]
+    listen: PlatformListenSettings
+    store: Address
+    seeds: list[Address] = []
+    bounds: PlatformBoundSettings
+    log_level: str = "info"
+    seed: int | None = None
+
+    @classmethod
+    def from_json(cls, text: bytes) -> "PlatformSettings":
+        """Decode a settings file; raises msgspec.DecodeError or ValidationError."""
+        return decode(text, type=cls)
+
+    def to_forwarding(self) -> ForwardingSettings:
+        """Return the figures that the decisions use."""
+        bounds = self.bounds
+        return ForwardingSettings(
+            instance_id=self.instance_id,
+            data_centre=self.data_centre,
+            regions=self.data_centres,
+            extra_share=bounds.extra_share,
+            extra_slack=bounds.extra_slack,
+            extra_window_ms=bounds.extra_window_s * 1000.0,
+            cold_rate_factor=bounds.cold_rate_factor,
+            cold_rate_slack=bounds.cold_rate_slack,
+            drain_ms=bounds.drain_ms,
+        )
--- a/packages/geraniumlead/src/geraniumlead/tail/latency_window.py
+++ b/packages/geraniumlead/src/geraniumlead/tail/latency_window.py
@@ -17,9 +17,10 @@
 class LatencyWindow:
     """Answer quantiles of the current window, or of the last one until this has enough."""
 
-    __slots__ = ("_cached", "_cached_ms", "_current", "_last", "_rotated_ms")
+    __slots__ = ("_cached", "_cached_ms", "_current", "_last", "_least_samples", "_rotated_ms")
 
-    def __init__(self, now_ms: float) -> None:
+    def __init__(self, now_ms: float, least_samples: int = LEAST_SAMPLES) -> None:
+        self._least_samples = least_samples
         self._current = HdrHistogram(1, MOST_MS * STEPS_PER_MS, DIGITS)
         self._last = HdrHistogram(1, MOST_MS * STEPS_PER_MS, DIGITS)
         self._rotated_ms = now_ms
@@ -44,7 +45,7 @@
 
     def _compute(self, share: float) -> float | None:
         for histogram in (self._current, self._last):
-            if histogram.get_total_count() >= LEAST_SAMPLES:
+            if histogram.get_total_count() >= self._least_samples:
                 return histogram.get_value_at_percentile(100.0 * share) / STEPS_PER_MS
         return None
 
--- a/packages/geraniumlead/src/geraniumlead/tail/straggler_clock.py
+++ b/packages/geraniumlead/src/geraniumlead/tail/straggler_clock.py
@@ -1,6 +1,6 @@
 """Say from latencies seen when a subquery is late, and when it is beyond reach."""
 
-from geraniumlead.tail.latency_window import LatencyWindow
+from geraniumlead.tail.latency_window import LEAST_SAMPLES, LatencyWindow
 
 LEAST_DELAY_MS = 1.0
 REACH_QUANTILE = 0.999
@@ -18,16 +18,17 @@
     just the share of the hedge budget lies, so that the budget is used and not exceeded.
     """
 
-    __slots__ = ("_windows",)
+    __slots__ = ("_least_samples", "_windows")
 
-    def __init__(self) -> None:
+    def __init__(self, least_samples: int = LEAST_SAMPLES) -> None:
+        self._least_samples = least_samples
         self._windows: dict[str, LatencyWindow] = {}
 
     def record(self, service: str, latency_ms: float, now_ms: float) -> None:
         """Learn from an answer, or from a late call that was cancelled."""
         window = self._windows.get(service)
         if window is None:
-            window = self._windows[service] = LatencyWindow(now_ms)
+            window = self._windows[service] = LatencyWindow(now_ms, self._least_samples)
         window.record(latency_ms, now_ms)
 
     def delay_ms(self, service: str, hedge_share: float, now_ms: float) -> float | None:
