--- a/packages/geraniumlead-server/src/geraniumlead_server/daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/daemon.py
@@ -6,16 +6,16 @@
 from random import Random, SystemRandom
 
 from geraniumlead.actions import Action, CallUpstream, CancelCall, ReadPlatform, SendToPeer
-from geraniumlead.events import StopRequested
+from geraniumlead.events import PeerMessageReceived, StopRequested
 from geraniumlead.instance import Instance
 from geraniumlead.instance.instance import INCARNATION_BITS
-from geraniumlead.peers import SubqueryBatch
+from geraniumlead.peers import SubqueryBatch, decode_message, encode_message
 from geraniumlead.settings import InstanceSettings
 from geraniumlead_server.callers import build_callers_app
 from geraniumlead_server.driver import InstanceDriver
 from geraniumlead_server.logs import RequestLog
 from geraniumlead_server.operators import RecentRequests, build_operators_app
-from geraniumlead_server.peer_transport import PeerTransport, PublishedKeys
+from geraniumlead_server.peer_transport import PeerCodec, PeerTransport, PublishedKeys
 from geraniumlead_server.platform_client import PlatformClient
 from geraniumlead_server.telemetry import MetricsPage, RequestMetrics
 from geraniumlead_server.upstream_client import UpstreamClient
@@ -57,7 +57,10 @@
             self._settings.platform_addresses, driver.handle, self._random
         )
         self._peers = PeerTransport(
-            self._settings, driver.handle, PublishedKeys(lambda: instance.parts.store.view)
+            self._settings,
+            lambda sender_id, message: driver.handle(PeerMessageReceived(sender_id, message)),
+            PublishedKeys(lambda: instance.parts.store.view),
+            PeerCodec(encode_message, decode_message),
         )
         servers = self._build_servers(driver)
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_driver.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_driver.py
@@ -18,6 +18,7 @@
     StartAttempt,
     TimePassed,
 )
+from geraniumlead.peering.peer_letter import PeerLetter
 from geraniumlead.routes import RequestLimits
 
 logger = logging.getLogger("geraniumlead")
@@ -80,7 +81,7 @@
                 case LogDecision():
                     for observe in self.observers:
                         observe(action)
-                case StartAttempt() | CancelAttempt():
+                case StartAttempt() | CancelAttempt() | PeerLetter():
                     self._carry_out(action)
 
     def _resolve(self, key: int, reply: Reply) -> None:
--- a/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/dealers.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/dealers.py
@@ -5,7 +5,7 @@
 
 import zmq
 
-from geraniumlead.actions import SendToPeer
+from geraniumlead_server.peer_transport.letter import Letter
 
 IDLE_S = 60.0
 """A connection that nothing was written to for so long is closed; a peer that left the list
@@ -33,7 +33,7 @@
 
     __slots__ = ("_dealers", "_looked_s", "_open")
 
-    def __init__(self, open_dealer: Callable[[SendToPeer], zmq.Socket]) -> None:
+    def __init__(self, open_dealer: Callable[[Letter], zmq.Socket]) -> None:
         self._open = open_dealer
         self._dealers: dict[str, Dealer] = {}
         self._looked_s = float("-inf")
@@ -42,7 +42,7 @@
         """Return the number of open connections."""
         return len(self._dealers)
 
-    def socket_for(self, action: SendToPeer, now_s: float) -> zmq.Socket:
+    def socket_for(self, action: Letter, now_s: float) -> zmq.Socket:
         """Return the connection; a peer with another address or key gets a new one."""
         self._close_idle(now_s)
         dealer = self._dealers.get(action.instance_id)
--- a/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
@@ -3,16 +3,14 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import Any
 
 import zmq
 import zmq.asyncio
-from zmq.auth.asyncio import AsyncioAuthenticator
 
-from geraniumlead.actions import SendToPeer
-from geraniumlead.events import PeerMessageReceived
-from geraniumlead.peers import decode_message, encode_message
-from geraniumlead.settings import InstanceSettings
+from geraniumlead.settings import InstanceSettings, PlatformSettings
 from geraniumlead_server.peer_transport.dealers import Dealers
+from geraniumlead_server.peer_transport.letter import Letter, PeerCodec
 from geraniumlead_server.peer_transport.published_keys import PublishedKeys
 
 logger = logging.getLogger("geraniumlead")
@@ -51,17 +49,19 @@
 
     def __init__(
         self,
-        settings: InstanceSettings,
-        report: Callable[[PeerMessageReceived], None],
-        keys: PublishedKeys,
+        settings: InstanceSettings | PlatformSettings,
+        report: Callable[[str, Any], None],
+        keys: PublishedKeys | None,
+        codec: PeerCodec,
     ) -> None:
         self._settings = settings
         self._report = report
         self._keys = keys
+        self._codec = codec
         self._context = zmq.asyncio.Context()
         self._router = self._context.socket(zmq.ROUTER, socket_class=zmq.Socket)
         self._dealers = Dealers(self._open_dealer)
-        self._authenticator: AsyncioAuthenticator | None = None
+        self._authenticator = None
         self._loop = asyncio.get_running_loop()
         self._receiving: asyncio.Handle | None = None
 
@@ -83,14 +83,14 @@
         self._loop.add_reader(self._router.getsockopt(zmq.FD), self._receive)
         self._receive()
 
-    def send(self, action: SendToPeer) -> None:
+    def send(self, action: Letter) -> None:
         """Queue a message for a peer, or drop it when the peer takes none."""
         if self.has_keys and not action.public_key:
             logger.warning("peer_without_key", extra={"fields": {"peer": action.instance_id}})
             return
         dealer = self._dealers.socket_for(action, self._loop.time())
         try:
-            dealer.send(encode_message(action.message), zmq.NOBLOCK)
+            dealer.send(self._codec.encode(action.message), zmq.NOBLOCK)
         except zmq.Again:
             self._dealers.note_blocked(action.instance_id, self._loop.time())
             logger.debug("peer_message_dropped", extra={"fields": {"peer": action.instance_id}})
@@ -105,6 +105,9 @@
         self._context.destroy(linger=200)
 
     def _require_keys(self) -> None:
+        # Loaded only here: it takes a tenth of a start, and not all deployments have keys.
+        from zmq.auth.asyncio import AsyncioAuthenticator
+
         self._authenticator = AsyncioAuthenticator(self._context)
         self._authenticator.start()
         self._authenticator.configure_curve_callback(ZAP_DOMAIN, self._keys)
@@ -130,18 +133,18 @@
             logger.warning("peer_message_of_unlisted_sender")
             return
         data = frames[-1] if isinstance(frames[-1], bytes) else frames[-1].buffer
-        message = decode_message(data) if len(frames) > 1 else None
+        message = self._codec.decode(data) if len(frames) > 1 else None
         if message is None:
             logger.warning("peer_message_malformed", extra={"fields": {"peer": sender_id}})
             return
-        self._report(PeerMessageReceived(sender_id, message))
+        self._report(sender_id, message)
 
     def _find_sender(self, frames: list) -> str | None:
         if self.has_keys:
             return self._keys.owner_of(frames[-1].get("User-Id"))
         return frames[0].decode(errors="replace")
 
-    def _open_dealer(self, action: SendToPeer) -> zmq.Socket:
+    def _open_dealer(self, action: Letter) -> zmq.Socket:
         dealer = self._context.socket(zmq.DEALER, socket_class=zmq.Socket)
         self._configure(dealer)
         if self.has_keys:
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
@@ -32,7 +32,7 @@
     """Raised when the store gave no usable answer."""
 
 
-class HistoryGone(StoreError):
+class HistoryGoneError(StoreError):
     """Raised when the store no longer knows what changed since a revision."""
 
 
@@ -94,7 +94,7 @@
         return tuple(found), first_revision or 0
 
     async def watch(self, revision: int, wait_ms: int) -> tuple[tuple[News, ...], int]:
-        """Return what changed after a revision; raises HistoryGone when that is unknown."""
+        """Return what changed after a revision; raises HistoryGoneError when that is unknown."""
         query = {"prefix": "", "after": str(revision), "waitMs": str(wait_ms)}
         timeout_s = wait_ms / 1000.0 + WATCH_SLACK_S
         found = await self._call(WATCH_PATH, query, timeout_s, _WATCH)
@@ -117,7 +117,7 @@
         except (ClientError, OSError, TimeoutError) as error:
             raise StoreError(type(error).__name__) from error
         if response.status == HISTORY_GONE_STATUS:
-            raise HistoryGone("the history is gone")
+            raise HistoryGoneError("the history is gone")
         if response.status != 200:
             raise StoreError(f"status {response.status}")
         try:
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -13,8 +13,11 @@
     CancelAttempt,
     Forwarder,
     ForwardingAction,
+    PeerHeard,
     StartAttempt,
 )
+from geraniumlead.peering import decode_peering, encode_peering
+from geraniumlead.peering.peer_letter import PeerLetter
 from geraniumlead.settings import PlatformSettings
 from geraniumlead_server.forwarding_driver import ForwardingDriver
 from geraniumlead_server.forwarding_front import (
@@ -23,6 +26,7 @@
     protocol_with_limits,
 )
 from geraniumlead_server.logs import DecisionLog
+from geraniumlead_server.peer_transport import PeerCodec, PeerTransport
 from geraniumlead_server.platform import StoreClient
 from geraniumlead_server.store_follower import StoreFollower
 from geraniumlead_server.telemetry import ForwardingMetrics, MetricsPage
@@ -70,10 +74,19 @@
     async def run(self) -> None:
         """Serve, and return after a graceful stop."""
         self._loop = asyncio.get_running_loop()
-        forwarder = Forwarder(self._settings.to_forwarding(), self._random)
+        forwarder = Forwarder(
+            self._settings.to_forwarding(), self._random, self._loop.time() * 1000.0
+        )
         self._driver = ForwardingDriver(forwarder, self._carry_out)
         self._attempts = AttemptClient(self._driver.handle)
         self._store = StoreClient(self._settings.store)
+        self._peers = PeerTransport(
+            self._settings,
+            lambda sender_id, message: self._driver.handle(PeerHeard(sender_id, message)),
+            None,
+            PeerCodec(encode_peering, decode_peering),
+        )
+        self._peers.start()
         servers = self._build_servers()
         self._loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         self._loop.add_signal_handler(signal.SIGINT, self._stopping.set)
@@ -88,6 +101,7 @@
         await self._stop(servers, tasks)
         for task in background:
             task.cancel()
+        self._peers.close()
         await self._attempts.close()
         await self._store.close()
         logger.info("stopped")
@@ -121,8 +135,8 @@
     async def _stop(self, servers: list[WebServer], tasks: list[asyncio.Task]) -> None:
         """Leave the balancer, take what still comes for a while, and end what is open."""
         forwarder = self._driver.forwarder
-        forwarder.is_stopping = True
         logger.info("stopping", extra={"fields": {"open_requests": forwarder.open_requests}})
+        self._driver.carry_out_all(forwarder.stop(self._driver.now_ms()))
         began_s = self._loop.time()
         stop_s = self._settings.bounds.stop_s
         await asyncio.sleep(NOTICE_PART * stop_s)
@@ -165,3 +179,5 @@
                 self._attempts.start(action)
             case CancelAttempt(attempt_id=attempt_id):
                 self._attempts.cancel(attempt_id)
+            case PeerLetter():
+                self._peers.send(action)
--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from geraniumlead.forwarding import PublishedNews, StoreLost
-from geraniumlead_server.platform import HistoryGone, StoreClient, StoreError
+from geraniumlead_server.platform import HistoryGoneError, StoreClient, StoreError
 from geraniumlead_server.platform_client.backoff import Backoff
 
 WATCH_MS = 1_000
@@ -51,7 +51,7 @@
                 else:
                     news, revision = await self._client.watch(revision, WATCH_MS)
                     self._report(PublishedNews(news, is_snapshot=False))
-            except HistoryGone:
+            except HistoryGoneError:
                 logger.info("history_gone", extra={"fields": {"revision": revision}})
                 revision = None
                 continue
--- a/packages/geraniumlead/src/geraniumlead/forwarding/actions.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/actions.py
@@ -5,6 +5,8 @@
 from geraniumlead.fleet import UpstreamRecord
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.replies import Reply
+from geraniumlead.peering import DelegatedReply, DelegationTaken
+from geraniumlead.peering.peer_letter import PeerLetter
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +34,14 @@
     reply: Reply
 
 
+@dataclass(frozen=True, slots=True)
+class PeerReply:
+    """Tell a peer what became of the shards that it asked for."""
+
+    sender_id: str
+    message: DelegatedReply | DelegationTaken
+
+
 @dataclass(frozen=True, slots=True)
 class LogDecision:
     """Write one line: ``fields`` are the inputs that decided, and the outcome."""
@@ -41,4 +51,4 @@
     level: str = "info"
 
 
-ForwardingAction = StartAttempt | CancelAttempt | SendReply | LogDecision
+ForwardingAction = StartAttempt | CancelAttempt | SendReply | LogDecision | PeerReply | PeerLetter
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
@@ -0,0 +1,204 @@
+"""Let a peer that is nearer to the upstreams ask some of a request's shards."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from random import Random
+
+from geraniumlead.fleet import FleetView
+from geraniumlead.forwarding.forwarding_settings import ForwardingSettings
+from geraniumlead.forwarding.open_request import Leg, OpenRequest
+from geraniumlead.peering import (
+    DelegatedRequest,
+    DelegationCancelled,
+    KnownPeer,
+    PeerDirectory,
+)
+from geraniumlead.peering.peer_letter import PeerLetter
+from geraniumlead.routes import FanOut, Route
+
+LEAST_LEGS = 3
+"""Shards that are worth a message to a peer instead of a request each. A message there and its
+reply weigh about as much as one and a half requests with their answers."""
+
+UNKNOWN_WAY_MS = 40.0
+"""Guess of the time of the way before it is measured; today's longest is 20 ms."""
+
+TAKEN_SLACK_MS = 40.0
+"""How much longer than the way there and back a peer may take to say that it serves a request.
+Its loop is seldom busy for more than some ms, and the request then still meets its goal."""
+
+PEER_WORK_MS = 3.0
+"""What the peer's own work takes from the goal."""
+
+MOST_OPEN = 200
+"""Requests that one peer may have of this instance; more would only wait in its loop."""
+
+
+@dataclass(slots=True)
+class Delegation:
+    """Shards of a request that a peer was asked to ask."""
+
+    number: int
+    opened: OpenRequest
+    legs: list[Leg]
+    peer: KnownPeer
+    due_ms: float
+    is_taken: bool = False
+
+
+class Delegations:
+    """Choose peers for shards that have no upstream in the own region.
+
+    Load pattern: an index over many shards, each with upstreams in some regions only. Every
+    query crosses the regions once for each shard that is elsewhere, there and back, and the
+    bytes between regions cost more than machines, processors and memory together. A peer
+    beside those upstreams asks them all for one message, and sends one merged answer.
+
+    Failure: the peer is gone, or the way to it. It has to say at once that it took the
+    request; without that the shards are asked from here while the goal can still be met.
+    """
+
+    __slots__ = ("_directory", "_fleet", "_next", "_open", "_random", "_settings", "_wakes")
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        fleet: FleetView,
+        directory: PeerDirectory,
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._fleet = fleet
+        self._directory = directory
+        self._random = random
+        self._open: dict[int, Delegation] = {}
+        self._wakes: list[tuple[float, int]] = []
+        self._next = 0
+
+    def find_peer(
+        self, opened: OpenRequest, services: Sequence[str], now_ms: float
+    ) -> KnownPeer | None:
+        """Return the peer that should ask the shards; None to ask them from here."""
+        if len(services) < LEAST_LEGS or opened.request.is_delegated:
+            return None
+        regions = self._regions_of(services, opened.route)
+        peers = [
+            peer
+            for peer in self._directory.live(now_ms)
+            if self._settings.regions.get(peer.contact.data_centre) in regions
+            and peer.is_ready
+            and peer.silent_ms is None
+            and peer.version >= opened.configuration.version
+            and peer.open_delegations < MOST_OPEN
+        ]
+        if not peers:
+            return None
+        return min(peers, key=lambda peer: (peer.open_delegations, self._random.random()))
+
+    def start(
+        self, opened: OpenRequest, legs: list[Leg], peer: KnownPeer, now_ms: float
+    ) -> PeerLetter:
+        """Ask a peer to ask the shards."""
+        self._next += 1
+        way_ms = UNKNOWN_WAY_MS if peer.way_ms is None else peer.way_ms
+        due_ms = now_ms + 2.0 * way_ms + TAKEN_SLACK_MS
+        delegation = Delegation(self._next, opened, legs, peer, due_ms)
+        self._open[delegation.number] = delegation
+        heappush(self._wakes, (due_ms, delegation.number))
+        peer.open_delegations += 1
+        opened.delegation = delegation.number
+        request = opened.request
+        message = DelegatedRequest(
+            number=delegation.number,
+            version=opened.configuration.version,
+            route=opened.route.name,
+            shards=tuple(leg.service for leg in legs),
+            request_id=request.request_id,
+            method=request.method,
+            host=request.host,
+            path=request.path,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            time_left_ms=max(0.0, opened.end_ms - now_ms - way_ms),
+            goal_left_ms=opened.goal_ms - now_ms - 2.0 * way_ms - PEER_WORK_MS,
+        )
+        return PeerLetter(peer.contact.instance_id, peer.contact.address, message)
+
+    def note_taken(self, number: int) -> None:
+        """Note that a peer serves a request; from now on only the goal ends the wait."""
+        delegation = self._open.get(number)
+        if delegation is not None:
+            delegation.is_taken = True
+
+    def take(self, number: int) -> Delegation | None:
+        """Take a delegation out that has its reply; None when nobody waits for it."""
+        delegation = self._open.pop(number, None)
+        if delegation is not None:
+            delegation.peer.open_delegations -= 1
+            delegation.opened.delegation = None
+        return delegation
+
+    def cancel(self, opened: OpenRequest) -> PeerLetter | None:
+        """Forget a request's delegation; return what the peer is told."""
+        if opened.delegation is None:
+            return None
+        delegation = self.take(opened.delegation)
+        return None if delegation is None else self._cancel_letter(delegation)
+
+    def take_overdue(self, now_ms: float) -> list[tuple[Delegation, PeerLetter]]:
+        """Take out what peers did not take in time, and what they are told."""
+        overdue = []
+        while self._wakes and self._wakes[0][0] <= now_ms:
+            _, number = heappop(self._wakes)
+            delegation = self._open.get(number)
+            if delegation is None or delegation.is_taken:
+                continue
+            self.take(number)
+            # Nothing more is passed to it until it is heard again.
+            delegation.peer.silent_ms = now_ms
+            overdue.append((delegation, self._cancel_letter(delegation)))
+        return overdue
+
+    def next_wake_ms(self) -> float:
+        """Return when ``take_overdue`` has something to do."""
+        return self._wakes[0][0] if self._wakes else float("inf")
+
+    def _cancel_letter(self, delegation: Delegation) -> PeerLetter:
+        contact = delegation.peer.contact
+        message = DelegationCancelled(delegation.number)
+        return PeerLetter(contact.instance_id, contact.address, message)
+
+    def _regions_of(self, services: Sequence[str], route: Route) -> set[str | None]:
+        """Return the other regions where every one of the shards has an upstream."""
+        found: set[str | None] | None = None
+        for service in services:
+            regions = {
+                self._settings.regions.get(record.data_centre)
+                for record in self._fleet.usable(service)
+            }
+            found = regions if found is None else found & regions
+            if not found:
+                return set()
+        found = found or set()
+        if route.allowed_regions:
+            found &= route.allowed_regions
+        return found - {self._settings.region}
+
+
+def find_delegated_route(message: DelegatedRequest, configuration) -> Route | None:
+    """Return the route by which a peer's request is served; None when it has to be declined.
+
+    An older configuration than the sender's would serve the request by a version that the
+    sender has already left.
+    """
+    if configuration is None or configuration.version < message.version:
+        return None
+    route = configuration.routes.find(message.host, message.path)
+    if route is None or route.name != message.route:
+        return None
+    match route.target:
+        case FanOut(shards=shards) if set(message.shards) <= set(shards):
+            return route
+    return None
--- a/packages/geraniumlead/src/geraniumlead/forwarding/events.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/events.py
@@ -5,6 +5,7 @@
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.news import News
 from geraniumlead.forwarding.results import AttemptResult
+from geraniumlead.peering import PeeringMessage
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,11 +45,19 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class PeerHeard:
+    """A message came from another instance."""
+
+    sender_id: str
+    message: PeeringMessage
+
+
 @dataclass(frozen=True, slots=True)
 class TimePassed:
     """A time came that ``next_wake_ms`` had named."""
 
 
 ForwardingEvent = (
-    RequestArrived | CallerLeft | AttemptEnded | PublishedNews | StoreLost | TimePassed
+    RequestArrived | CallerLeft | AttemptEnded | PublishedNews | StoreLost | PeerHeard | TimePassed
 )
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
@@ -10,7 +10,8 @@
     ``key`` is unique in this process; ``request_id`` is the caller's own and may repeat.
     ``target`` is path and query as they were sent. ``headers`` leave out those of one
     connection. Times are of the monotonic clock, in milliseconds; ``wait_ms`` is how long
-    the caller said it waits.
+    the caller said it waits. ``goal_left_ms`` is when the reply has to leave and ``shards``
+    are those to ask, where a peer passed the request here.
     """
 
     key: int
@@ -23,3 +24,10 @@
     body: bytes
     arrived_ms: float
     wait_ms: float | None
+    goal_left_ms: float | None = None
+    shards: tuple[str, ...] = ()
+
+    @property
+    def is_delegated(self) -> bool:
+        """Return whether a peer passed it here."""
+        return bool(self.shards)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
@@ -8,6 +8,7 @@
     AttemptEnded,
     CallerLeft,
     ForwardingEvent,
+    PeerHeard,
     PublishedNews,
     RequestArrived,
     StoreLost,
@@ -15,12 +16,16 @@
 )
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.forwarding_settings import ForwardingSettings
+from geraniumlead.forwarding.peer_desk import PeerDesk
 from geraniumlead.forwarding.published_state import PublishedState
-from geraniumlead.forwarding.replies import OwnReply, Reply
+from geraniumlead.forwarding.replies import OwnReply
 from geraniumlead.forwarding.request_runner import RequestRunner
 from geraniumlead.forwarding.retry_after import RetryAfter
+from geraniumlead.peering import PeerContact, PeerDirectory
 
+INCARNATION_BITS = 48
 NOT_FOUND = 404
+UNAVAILABLE = 503
 
 
 class Forwarder:
@@ -31,14 +36,29 @@
     randomness, so a run in virtual time is the program itself.
     """
 
-    __slots__ = ("_actions", "_retry_after", "_runner", "is_stopping", "published")
-
-    def __init__(self, settings: ForwardingSettings, random: Random) -> None:
+    __slots__ = (
+        "_actions",
+        "_peers",
+        "_retry_after",
+        "_runner",
+        "_settings",
+        "is_stopping",
+        "published",
+    )
+
+    def __init__(self, settings: ForwardingSettings, random: Random, now_ms: float = 0.0) -> None:
+        self._settings = settings
         self._actions: list[ForwardingAction] = []
         fleet = FleetView()
         self._retry_after = RetryAfter(random)
-        self._runner = RequestRunner(settings, fleet, random, self._retry_after, self._actions)
+        contact = PeerContact(settings.instance_id, settings.address, settings.data_centre)
+        incarnation = random.getrandbits(INCARNATION_BITS)
+        directory = PeerDirectory(contact, settings.seeds, incarnation, now_ms)
+        self._runner = RequestRunner(
+            settings, fleet, random, self._retry_after, self._actions, directory
+        )
         self.published = PublishedState(fleet, self._runner.chooser, self._actions)
+        self._peers = PeerDesk(directory, self._runner, self.published, self._actions)
         self.is_stopping = False
 
     @property
@@ -48,16 +68,18 @@
 
     @property
     def open_requests(self) -> int:
-        """Return how many callers wait for an answer."""
+        """Return how many callers and peers wait for an answer."""
         return len(self._runner)
 
-    def set_instances(self, count: int) -> None:
-        """Take over how many instances share the limits of the fleet."""
-        self._runner.set_instances(count)
+    def live_peers(self, now_ms: float) -> list[str]:
+        """Return the instances that were heard lately."""
+        return [peer.contact.instance_id for peer in self._peers.directory.live(now_ms)]
 
     def apply_settings(self, settings: ForwardingSettings) -> None:
         """Take over changed settings; open requests go on."""
+        self._settings = settings
         self._runner.apply_settings(settings)
+        self._peers.directory.set_seeds(settings.seeds)
 
     def handle(self, event: ForwardingEvent, now_ms: float) -> list[ForwardingAction]:
         """Take in one event and return what follows from it, in order."""
@@ -72,30 +94,39 @@
                 self.published.take(event, now_ms)
             case StoreLost(detail=detail):
                 self.published.note_lost(detail, now_ms)
+            case PeerHeard(sender_id=sender_id, message=message):
+                self._peers.take(sender_id, message, now_ms, self.is_ready)
             case TimePassed():
                 pass
         self.published.expire(now_ms)
         self._runner.wake(now_ms)
-        actions = list(self._actions)
-        self._actions.clear()
-        return actions
+        self._peers.wake(now_ms, self.is_ready)
+        return self._take_actions()
 
     def next_wake_ms(self) -> float:
         """Return when ``handle`` wants TimePassed, if nothing happens before."""
-        return min(self._runner.next_wake_ms(), self.published.next_wake_ms())
+        return min(
+            self._runner.next_wake_ms(),
+            self.published.next_wake_ms(),
+            self._peers.next_wake_ms(),
+        )
+
+    def stop(self, now_ms: float) -> list[ForwardingAction]:
+        """Stop taking new work; what is open goes on."""
+        self.is_stopping = True
+        self._peers.say_farewell(now_ms)
+        return self._take_actions()
 
     def end_all(self, now_ms: float) -> list[ForwardingAction]:
         """Answer everything that is open, for the process is about to end."""
         self._runner.end_all(now_ms)
-        actions = list(self._actions)
-        self._actions.clear()
-        return actions
+        return self._take_actions()
 
     def _take_request(self, request: ForwardedRequest, now_ms: float) -> None:
         configuration = self.published.configuration
         if configuration is None:
             # A 404 would be believed, and the route may well exist.
-            refusal = OwnReply(503, "no_configuration", self._retry_after.draw())
+            refusal = OwnReply(UNAVAILABLE, "no_configuration", self._retry_after.draw())
             self._refuse(request, refusal)
             return
         route = configuration.routes.find(request.host, request.path)
@@ -104,7 +135,7 @@
             return
         self._runner.start(request, route, configuration, now_ms)
 
-    def _refuse(self, request: ForwardedRequest, reply: Reply) -> None:
+    def _refuse(self, request: ForwardedRequest, reply: OwnReply) -> None:
         configuration = self.published.configuration
         fields = {
             "request_id": request.request_id,
@@ -115,3 +146,9 @@
         }
         self._actions.append(LogDecision("request", fields, "warning"))
         self._actions.append(SendReply(request.key, reply))
+
+    def _take_actions(self) -> list[ForwardingAction]:
+        """Return what is to be done; replies to peers become letters."""
+        actions = [self._peers.route(action) for action in self._actions]
+        self._actions.clear()
+        return [action for action in actions if action is not None]
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarding_settings.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarding_settings.py
@@ -10,10 +10,13 @@
     ``extra_share`` and ``extra_slack`` bound the requests that all instances together may
     send beyond the first of each: the share of the requests for a service in a window of
     ``extra_window_ms``, plus the slack. ``regions`` maps each data centre to its region.
+    ``address`` is where peers reach this instance, ``seeds`` are some of theirs.
     """
 
     instance_id: str
     data_centre: str
+    address: str = ""
+    seeds: tuple[str, ...] = ()
     regions: dict[str, str] = field(default_factory=dict)
     extra_share: float = 0.1
     extra_slack: float = 0.0
--- a/packages/geraniumlead/src/geraniumlead/forwarding/late_clock.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/late_clock.py
@@ -59,6 +59,8 @@
         The goal counts from the caller's first try. A repeat says only how long it still
         waits; what it has waited is the difference to the longest wait seen on the route.
         """
+        if request.goal_left_ms is not None:
+            return request.arrived_ms + request.goal_left_ms
         wait_ms = request.wait_ms
         if wait_ms is None:
             return request.arrived_ms + route.latency_goal_ms
--- a/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
@@ -56,6 +56,7 @@
     settled: int = 0
     answered: int = 0
     extra: int = 0
+    delegation: int | None = None
     notes: list[dict] = field(default_factory=list)
 
     @property
@@ -66,6 +67,9 @@
     @property
     def least_answers(self) -> int:
         """Return how many legs have to be answered for a success."""
+        if self.request.is_delegated:
+            # Whether it is enough is for the peer to say, which has the other shards.
+            return 0
         match self.route.target:
             case FanOut(shards=shards, least_share=least_share):
                 return max(1, least_count(len(shards), least_share))
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
@@ -0,0 +1,114 @@
+"""Turn what peers say into calls of the decisions, and their outcomes into letters."""
+
+from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, PeerReply
+from geraniumlead.forwarding.delegations import find_delegated_route
+from geraniumlead.forwarding.published_state import PublishedState
+from geraniumlead.forwarding.request_runner import RequestRunner
+from geraniumlead.peering import (
+    DelegatedReply,
+    DelegatedRequest,
+    DelegationCancelled,
+    DelegationTaken,
+    Farewell,
+    Hello,
+    PeerDirectory,
+    PeeringMessage,
+)
+from geraniumlead.peering.peer_letter import PeerLetter
+
+
+class PeerDesk:
+    """Keep in touch with peers, and serve what they ask for."""
+
+    __slots__ = ("_actions", "_count", "_published", "_runner", "directory")
+
+    def __init__(
+        self,
+        directory: PeerDirectory,
+        runner: RequestRunner,
+        published: PublishedState,
+        actions: list[ForwardingAction],
+    ) -> None:
+        self._runner = runner
+        self._published = published
+        self._actions = actions
+        self._count = 0
+        self.directory = directory
+
+    def take(self, sender_id: str, message: PeeringMessage, now_ms: float, is_ready: bool) -> None:
+        """Take in one message."""
+        match message:
+            case Hello():
+                for peer in self.directory.hear(message, now_ms):
+                    letter = self.directory.greet(peer, self._version(), is_ready, now_ms)
+                    self._actions.append(letter)
+            case Farewell():
+                self.directory.take_farewell(sender_id, message)
+            case DelegatedRequest():
+                self._serve(sender_id, message, now_ms, is_ready)
+            case DelegationTaken(number=number):
+                self._runner.delegations.note_taken(number)
+            case DelegatedReply(number=number):
+                delegation = self._runner.delegations.take(number)
+                if delegation is not None:
+                    self._runner.take_delegated(delegation, message, now_ms)
+            case DelegationCancelled(number=number):
+                key = self._runner.desk.take_key(sender_id, number)
+                if key is not None:
+                    self._runner.drop(key, now_ms)
+
+    def wake(self, now_ms: float, is_ready: bool) -> None:
+        """Say hello where it is due, and ask what peers did not take."""
+        self._actions += self.directory.take_letters(self._version(), is_ready, now_ms)
+        for delegation, letter in self._runner.delegations.take_overdue(now_ms):
+            self._actions.append(letter)
+            peer_id = delegation.peer.contact.instance_id
+            request_id = delegation.opened.request.request_id
+            fields = {"peer": peer_id, "request_id": request_id}
+            self._actions.append(LogDecision("peer_silent", fields, "warning"))
+            self._runner.take_back(delegation, "peer silent", now_ms)
+        count = self.directory.count(now_ms)
+        if count != self._count:
+            self._count = count
+            self._runner.set_instances(count)
+            live = [peer.contact.instance_id for peer in self.directory.live(now_ms)]
+            fields = {"instances": count, "live_peers": live}
+            self._actions.append(LogDecision("peers", fields))
+
+    def next_wake_ms(self) -> float:
+        """Return when ``wake`` has something to do."""
+        return min(self.directory.next_wake_ms(), self._runner.delegations.next_wake_ms())
+
+    def say_farewell(self, now_ms: float) -> None:
+        """Tell peers that no new work is taken."""
+        self._actions += self.directory.farewells(now_ms)
+
+    def route(self, action: ForwardingAction) -> ForwardingAction | None:
+        """Give a reply to a peer its address; leave all else as it is."""
+        match action:
+            case PeerReply(sender_id=sender_id, message=message):
+                return self._letter(sender_id, message)
+        return action
+
+    def _serve(
+        self, sender_id: str, message: DelegatedRequest, now_ms: float, is_ready: bool
+    ) -> None:
+        configuration = self._published.configuration
+        route = find_delegated_route(message, configuration)
+        if route is None or configuration is None or not is_ready:
+            declined = DelegatedReply(message.number, is_declined=True)
+            self._actions.append(PeerReply(sender_id, declined))
+            return
+        self._actions.append(PeerReply(sender_id, DelegationTaken(message.number)))
+        request = self._runner.desk.accept(sender_id, message, now_ms)
+        self._runner.start(request, route, configuration, now_ms)
+
+    def _letter(self, instance_id: str, message: PeeringMessage) -> PeerLetter | None:
+        peer = self.directory.peers.get(instance_id)
+        if peer is None:
+            return None
+        return PeerLetter(instance_id, peer.contact.address, message)
+
+    def _version(self) -> int:
+        configuration = self._published.configuration
+        return 0 if configuration is None else configuration.version
--- a/packages/geraniumlead/src/geraniumlead/forwarding/published_state.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/published_state.py
@@ -108,7 +108,7 @@
         fields = {
             "upstream": record.upstream_id,
             "service": record.service,
-            "data_centre": record.data_centre,
+            "in_data_centre": record.data_centre,
             "ready": record.is_ready,
             "cold_left_ms": record.cold_left_ms,
         }
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -4,9 +4,11 @@
 from random import Random
 
 from geraniumlead.fleet import FleetView, UpstreamRecord
-from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, SendReply
+from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, PeerReply, SendReply
 from geraniumlead.forwarding.attempt_book import AttemptBook
 from geraniumlead.forwarding.closing import decide_reply
+from geraniumlead.forwarding.delegate_desk import DelegateDesk
+from geraniumlead.forwarding.delegations import Delegation, Delegations
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.forwarding_settings import ForwardingSettings
 from geraniumlead.forwarding.open_request import Attempt, Leg, OpenRequest
@@ -19,6 +21,7 @@
     PossiblyExecuted,
 )
 from geraniumlead.forwarding.retry_after import RetryAfter
+from geraniumlead.peering import DelegatedReply, PeerDirectory
 from geraniumlead.routes import (
     FanOut,
     OneService,
@@ -28,13 +31,15 @@
     SplitServices,
 )
 
-REPLY_MARGIN_MS = 8.0
-"""Left of the goal for this instance's own work and the way to the caller, some 1 to 3 ms."""
+REPLY_MARGIN_MS = 16.0
+"""Left of the goal for the way: a caller that opens a connection has spent three ways of some
+3 ms before its request is here, the answer takes one more, and the loop is busy some ms."""
 
 END_MARGIN_MS = 20.0
 """Left of the caller's wait, so that the answer arrives before it gives up."""
 
 NEVER_MS = float("inf")
+OK = 200
 
 
 class RequestRunner:
@@ -53,6 +58,8 @@
         "_retry_after",
         "_splits",
         "_wakes",
+        "delegations",
+        "desk",
     )
 
     def __init__(
@@ -62,8 +69,11 @@
         random: Random,
         retry_after: RetryAfter,
         actions: list[ForwardingAction],
+        directory: PeerDirectory,
     ) -> None:
         self._random = random
+        self.delegations = Delegations(settings, fleet, directory, random)
+        self.desk = DelegateDesk()
         self._retry_after = retry_after
         self._actions = actions
         self._book = AttemptBook(settings, fleet, random, actions)
@@ -98,27 +108,64 @@
         now_ms: float,
     ) -> None:
         """Send a request to one upstream of each of its services."""
-        wait_ms = min(request.wait_ms or route.timeout_ms, route.timeout_ms)
-        end_ms = request.arrived_ms + max(0.0, wait_ms - END_MARGIN_MS)
-        goal_ms = self._book.clock.goal_ms(route, request) - REPLY_MARGIN_MS
+        goal_ms, end_ms = self.times_of(request, route)
         opened = OpenRequest(request, route, configuration, goal_ms, end_ms)
-        opened.legs = [Leg(opened, service) for service in self._services_of(route)]
-        chosen: list[tuple[Leg, UpstreamRecord]] = []
-        for leg in opened.legs:
-            self._book.budgets.note_first(leg.service, now_ms)
-            upstream = self._book.choose(leg, now_ms)
-            if upstream is None:
-                opened.settle_failed(leg, "no_upstream", now_ms)
-            else:
-                chosen.append((leg, upstream))
+        opened.legs = [Leg(opened, service) for service in self._services_of(request, route)]
         self._open[request.key] = opened
+        chosen = self._choose_all(opened, now_ms)
         if opened.is_hopeless:
             # Known before anything is sent, so this refusal is true and early.
             self._finish(opened, "no_upstream", now_ms)
             return
-        for leg, upstream in chosen:
+        for leg, upstream in self._delegate(opened, chosen, now_ms):
             self._book.send(leg, upstream, now_ms)
-        self._arm(opened, now_ms)
+        if not self._finish_if_done(opened, now_ms):
+            self._arm(opened, now_ms)
+
+    def times_of(self, request: ForwardedRequest, route: Route) -> tuple[float, float]:
+        """Return when the reply should leave, and when all is over."""
+        wait_ms = min(request.wait_ms or route.timeout_ms, route.timeout_ms)
+        goal_ms = self._book.clock.goal_ms(route, request)
+        if request.goal_left_ms is not None:
+            # The peer that passed it here has taken its margins from both.
+            return goal_ms, request.arrived_ms + wait_ms
+        end_ms = request.arrived_ms + max(0.0, wait_ms - END_MARGIN_MS)
+        return goal_ms - REPLY_MARGIN_MS, end_ms
+
+    def take_delegated(self, delegation: Delegation, reply: DelegatedReply, now_ms: float) -> None:
+        """Take in what a peer brought for the shards that it was asked to ask."""
+        opened = delegation.opened
+        if reply.is_declined:
+            self.take_back(delegation, "declined", now_ms)
+            return
+        signatures = dict(reply.signatures)
+        records = reply.records
+        for leg in delegation.legs:
+            signature = signatures.get(leg.service)
+            if signature is None:
+                opened.settle_failed(leg, "missing at the peer", now_ms)
+                continue
+            # The records are those of all the peer's shards; they are merged once.
+            opened.settle_answered(leg, Completed(OK, (), records, signature))
+            records = b""
+        self._finish_if_done(opened, now_ms)
+
+    def take_back(self, delegation: Delegation, why: str, now_ms: float) -> None:
+        """Ask the shards from here that a peer did not take."""
+        opened = delegation.opened
+        for leg in delegation.legs:
+            upstream = self._book.choose(leg, now_ms)
+            if upstream is None:
+                opened.settle_failed(leg, f"{why}, no upstream", now_ms)
+            elif why == "declined":
+                self._book.send(leg, upstream, now_ms)
+            elif self._book.budgets.may_repeat_failed(leg.service, now_ms):
+                # The peer may have asked already, and only its word is late or lost.
+                self._book.send_again(leg, upstream, why, now_ms)
+            else:
+                opened.settle_failed(leg, f"{why}, no budget", now_ms)
+        if not self._finish_if_done(opened, now_ms):
+            self._arm(opened, now_ms)
 
     def finish_attempt(self, attempt_id: int, result: AttemptResult, now_ms: float) -> None:
         """Take in the end of an attempt; one that nobody waits for is dropped."""
@@ -134,7 +181,7 @@
         """Forget a request whose caller left, and stop all work for it."""
         opened = self._open.pop(key, None)
         if opened is not None:
-            self._book.cancel_all(opened, now_ms)
+            self._cancel_all(opened, now_ms)
             self._log(opened, "caller_left", None, now_ms)
 
     def wake(self, now_ms: float) -> None:
@@ -155,7 +202,36 @@
         for opened in list(self._open.values()):
             self._finish(opened, "stopping", now_ms)
 
-    def _services_of(self, route: Route) -> tuple[str, ...]:
+    def _choose_all(self, opened: OpenRequest, now_ms: float) -> list[tuple[Leg, UpstreamRecord]]:
+        chosen: list[tuple[Leg, UpstreamRecord]] = []
+        for leg in opened.legs:
+            self._book.budgets.note_first(leg.service, now_ms)
+            upstream = self._book.choose(leg, now_ms)
+            if upstream is None:
+                opened.settle_failed(leg, "no_upstream", now_ms)
+            else:
+                chosen.append((leg, upstream))
+        return chosen
+
+    def _delegate(
+        self, opened: OpenRequest, chosen: list[tuple[Leg, UpstreamRecord]], now_ms: float
+    ) -> list[tuple[Leg, UpstreamRecord]]:
+        """Pass the shards that are only elsewhere to a peer; return the others."""
+        if not opened.is_fan_out:
+            return chosen
+        far = [leg for leg, _ in chosen if not self._book.chooser.has_near(leg.service)]
+        services = [leg.service for leg in far]
+        peer = self.delegations.find_peer(opened, services, now_ms)
+        if peer is None:
+            return chosen
+        for leg in far:
+            leg.may_have_run = True
+        self._actions.append(self.delegations.start(opened, far, peer, now_ms))
+        return [(leg, upstream) for leg, upstream in chosen if not leg.may_have_run]
+
+    def _services_of(self, request: ForwardedRequest, route: Route) -> tuple[str, ...]:
+        if request.is_delegated:
+            return request.shards
         match route.target:
             case OneService(service=service):
                 return (service,)
@@ -287,11 +363,22 @@
         # What is still out at the end may have run, so it is no longer "not run".
         for leg in opened.legs:
             leg.may_have_run = leg.may_have_run or bool(leg.open_attempts)
-        self._book.cancel_all(opened, now_ms)
+        self._cancel_all(opened, now_ms)
+        if opened.request.is_delegated:
+            sender_id, message = self.desk.take_reply(opened)
+            self._actions.append(PeerReply(sender_id, message))
+            self._log(opened, f"for {sender_id}", None, now_ms)
+            return
         reply = decide_reply(opened, reason, self._retry_after.draw())
         self._actions.append(SendReply(opened.request.key, reply))
         self._log(opened, reason, reply, now_ms)
 
+    def _cancel_all(self, opened: OpenRequest, now_ms: float) -> None:
+        self._book.cancel_all(opened, now_ms)
+        letter = self.delegations.cancel(opened)
+        if letter is not None:
+            self._actions.append(letter)
+
     def _log(self, opened: OpenRequest, reason: str, reply, now_ms: float) -> None:
         fields, level = describe_request(opened, reason, reply, now_ms)
         self._actions.append(LogDecision("request", fields, level))
--- a/packages/geraniumlead/src/geraniumlead/forwarding/upstream_chooser.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/upstream_chooser.py
@@ -62,6 +62,14 @@
         if estimate is not None and estimate.in_flight:
             self._estimates[upstream_id] = UpstreamEstimate(in_flight=estimate.in_flight)
 
+    def has_near(self, service: str) -> bool:
+        """Return whether a service has a usable upstream in the own region."""
+        regions = self._settings.regions
+        return any(
+            regions.get(record.data_centre) == self._settings.region
+            for record in self._fleet.usable(service)
+        )
+
     def choose(
         self,
         route: Route,
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/peering/__init__.py
@@ -0,0 +1,31 @@
+"""Find the other instances where nobody lists them, and talk to them."""
+
+from geraniumlead.peering.directory import PeerDirectory
+from geraniumlead.peering.known_peer import KnownPeer
+from geraniumlead.peering.messages import (
+    DelegatedReply,
+    DelegatedRequest,
+    DelegationCancelled,
+    DelegationTaken,
+    Farewell,
+    Hello,
+    PeerContact,
+    PeeringMessage,
+    decode_peering,
+    encode_peering,
+)
+
+__all__ = [
+    "DelegatedReply",
+    "DelegatedRequest",
+    "DelegationCancelled",
+    "DelegationTaken",
+    "Farewell",
+    "Hello",
+    "KnownPeer",
+    "PeerContact",
+    "PeerDirectory",
+    "PeeringMessage",
+    "decode_peering",
+    "encode_peering",
+]
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -0,0 +1,184 @@
+"""Know the live instances from what they tell each other."""
+
+from geraniumlead.peering.known_peer import KnownPeer
+from geraniumlead.peering.messages import Farewell, Hello, PeerContact
+from geraniumlead.peering.peer_letter import PeerLetter
+
+BEAT_MS = 1_000.0
+"""Time between two hellos to a peer: a hello is some 150 bytes, so six peers cost 1 KB/s."""
+
+FIRST_BEAT_MS = 300.0
+"""Time between two hellos to a seed while no peer is known: all instances may have just
+started together, and a message to one that does not listen yet is lost."""
+
+LIVE_MS = 3_200.0
+"""Silence after which a peer counts as gone: three hellos, of which two may be lost."""
+
+FORGET_MS = 30_000.0
+"""Silence after which a peer is written to no more; one that returns writes first."""
+
+HOLD_COUNT_MS = 20_000.0
+"""Time for which the highest count of instances is kept: two windows of the fleet's limits.
+
+Failure: instances are cut off from each other. Each side sees fewer, and with limits divided
+by what it sees both sides together would exceed them.
+"""
+
+START_COUNT = 12
+"""Count assumed until peers have had time to be heard; today's users have 6 or 7 instances."""
+
+START_MS = 4_000.0
+"""Time after a start in which START_COUNT holds; the seeds may be stale for 3 s."""
+
+MOST_TOLD = 40
+"""Peers that are named in one hello to a new peer."""
+
+
+class PeerDirectory:
+    """Find peers from seeds and from each other, and say which of them live.
+
+    Every instance says hello to the seeds and to everyone it knows, once a second, and names
+    those whom it knows to a peer that is new. Nothing is shared or voted on: a wrong view
+    only makes this instance ask for less than it may.
+    """
+
+    __slots__ = (
+        "_beat_ms",
+        "_contact",
+        "_counts",
+        "_incarnation",
+        "_seeds",
+        "_seeds_told_ms",
+        "_started_ms",
+        "peers",
+    )
+
+    def __init__(
+        self, contact: PeerContact, seeds: tuple[str, ...], incarnation: int, now_ms: float
+    ) -> None:
+        self._contact = contact
+        self._seeds = tuple(address for address in seeds if address != contact.address)
+        self._incarnation = incarnation
+        self._beat_ms = now_ms
+        self._seeds_told_ms = float("-inf")
+        self._started_ms = now_ms
+        self._counts: list[tuple[float, int]] = []
+        self.peers: dict[str, KnownPeer] = {}
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take over changed seeds."""
+        self._seeds = tuple(address for address in seeds if address != self._contact.address)
+
+    def is_live(self, peer: KnownPeer, now_ms: float) -> bool:
+        """Return whether a peer was heard lately and did not say farewell."""
+        return now_ms - peer.heard_ms < LIVE_MS and peer.incarnation != peer.left_incarnation
+
+    def live(self, now_ms: float) -> list[KnownPeer]:
+        """Return the live peers."""
+        return [peer for peer in self.peers.values() if self.is_live(peer, now_ms)]
+
+    def count(self, now_ms: float) -> int:
+        """Return how many instances may be sharing the limits of the fleet."""
+        heard = 1 + sum(1 for peer in self.peers.values() if now_ms - peer.heard_ms < LIVE_MS)
+        while self._counts and (
+            self._counts[0][0] < now_ms - HOLD_COUNT_MS or self._counts[0][1] <= heard
+        ):
+            self._counts.pop(0)
+        while self._counts and self._counts[-1][1] <= heard:
+            self._counts.pop()
+        self._counts.append((now_ms, heard))
+        most = max(count for _, count in self._counts)
+        return max(most, START_COUNT) if now_ms - self._started_ms < START_MS else most
+
+    def next_wake_ms(self) -> float:
+        """Return when ``take_letters`` has something to do."""
+        return self._beat_ms
+
+    def take_letters(self, version: int, is_ready: bool, now_ms: float) -> list[PeerLetter]:
+        """Return the hellos that are due."""
+        if now_ms < self._beat_ms:
+            return []
+        has_peers = any(self.is_live(peer, now_ms) for peer in self.peers.values())
+        self._beat_ms = now_ms + (BEAT_MS if has_peers else FIRST_BEAT_MS)
+        letters = []
+        for instance_id, peer in list(self.peers.items()):
+            if now_ms - max(peer.heard_ms, peer.mentioned_ms) > FORGET_MS:
+                del self.peers[instance_id]
+                continue
+            letters.append(self.greet(peer, version, is_ready, now_ms))
+        reached = {peer.contact.address for peer in self.peers.values()}
+        for address in self._seeds:
+            if address not in reached:
+                hello = self._hello(None, version, is_ready, now_ms)
+                letters.append(PeerLetter(f"seed {address}", address, hello))
+        return letters
+
+    def greet(self, peer: KnownPeer, version: int, is_ready: bool, now_ms: float) -> PeerLetter:
+        """Return a hello to one peer."""
+        hello = self._hello(peer, version, is_ready, now_ms)
+        peer.told_ms = now_ms
+        return PeerLetter(peer.contact.instance_id, peer.contact.address, hello)
+
+    def hear(self, hello: Hello, now_ms: float) -> list[KnownPeer]:
+        """Take in a hello; return the peers that are to be greeted at once."""
+        instance_id = hello.contact.instance_id
+        if instance_id == self._contact.instance_id:
+            return []
+        greeted = []
+        peer = self.peers.get(instance_id)
+        if peer is None or peer.heard_ms == float("-inf"):
+            peer = self._learn(hello.contact, now_ms)
+            greeted.append(peer)
+        peer.contact = hello.contact
+        peer.heard_ms = now_ms
+        peer.silent_ms = None
+        peer.incarnation = hello.incarnation
+        peer.version = hello.version
+        peer.is_ready = hello.is_ready
+        peer.clock_ms = hello.sent_ms
+        if hello.echo_ms is not None:
+            peer.note_way((now_ms - hello.echo_ms - hello.held_ms) / 2.0)
+        for contact in hello.known:
+            is_self = contact.instance_id == self._contact.instance_id
+            if not is_self and contact.instance_id not in self.peers:
+                greeted.append(self._learn(contact, now_ms))
+        return greeted
+
+    def take_farewell(self, sender_id: str, farewell: Farewell) -> None:
+        """Note that a peer takes no new work."""
+        peer = self.peers.get(sender_id)
+        if peer is not None:
+            peer.left_incarnation = farewell.incarnation
+            peer.is_ready = False
+
+    def farewells(self, now_ms: float) -> list[PeerLetter]:
+        """Return a farewell to every live peer."""
+        message = Farewell(self._incarnation)
+        return [
+            PeerLetter(peer.contact.instance_id, peer.contact.address, message)
+            for peer in self.live(now_ms)
+        ]
+
+    def _learn(self, contact: PeerContact, now_ms: float) -> KnownPeer:
+        peer = self.peers.get(contact.instance_id)
+        if peer is None:
+            peer = self.peers[contact.instance_id] = KnownPeer(contact)
+        peer.mentioned_ms = now_ms
+        return peer
+
+    def _hello(self, peer: KnownPeer | None, version: int, is_ready: bool, now_ms: float) -> Hello:
+        known: tuple[PeerContact, ...] = ()
+        if peer is None or peer.told_ms == float("-inf"):
+            known = tuple(found.contact for found in self.live(now_ms))[:MOST_TOLD]
+        clock_ms = None if peer is None else peer.clock_ms
+        held_ms = 0.0 if clock_ms is None else now_ms - peer.heard_ms
+        return Hello(
+            self._contact,
+            self._incarnation,
+            version,
+            is_ready,
+            now_ms,
+            clock_ms,
+            held_ms,
+            known,
+        )
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -0,0 +1,105 @@
+"""Define the messages between instances on the users' platform.
+
+All are msgpack arrays, so a field may only be added at the end, with a default.
+"""
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.msgpack import Decoder, Encoder
+
+
+class PeerContact(Struct, frozen=True, array_like=True):
+    """Name an instance and how it is reached."""
+
+    instance_id: str
+    address: str
+    data_centre: str
+
+
+class Hello(Struct, frozen=True, array_like=True, tag="hello"):
+    """Say that the sender lives, and whom it knows.
+
+    ``sent_ms`` is the sender's clock; ``echo_ms`` repeats the receiver's last one and
+    ``held_ms`` tells how long that was kept, so that the receiver learns the time of the way.
+    """
+
+    contact: PeerContact
+    incarnation: int
+    version: int
+    is_ready: bool
+    sent_ms: float
+    echo_ms: float | None = None
+    held_ms: float = 0.0
+    known: tuple[PeerContact, ...] = ()
+
+
+class Farewell(Struct, frozen=True, array_like=True, tag="farewell"):
+    """Say that the sender is stopping and takes no new work."""
+
+    incarnation: int
+
+
+class DelegatedRequest(Struct, frozen=True, array_like=True, tag="delegated"):
+    """Ask a peer that is nearer to their upstreams to ask some shards.
+
+    ``version`` is the configuration that the sender acts on; the peer declines with an older
+    one. Its reply has to leave ``goal_left_ms`` after the message came, with what is in.
+    """
+
+    number: int
+    version: int
+    route: str
+    shards: tuple[str, ...]
+    request_id: str
+    method: str
+    host: str
+    path: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    time_left_ms: float
+    goal_left_ms: float
+
+
+class DelegationTaken(Struct, frozen=True, array_like=True, tag="taken"):
+    """Say that a delegated request arrived and is being served."""
+
+    number: int
+
+
+class DelegatedReply(Struct, frozen=True, array_like=True, tag="delegated_reply"):
+    """Carry the answered shards with their signatures, and their greatest records.
+
+    When ``is_declined``, nothing was sent.
+    """
+
+    number: int
+    is_declined: bool = False
+    signatures: tuple[tuple[str, str], ...] = ()
+    records: bytes = b""
+
+
+class DelegationCancelled(Struct, frozen=True, array_like=True, tag="cancelled"):
+    """Say that nobody waits for a delegated request any more."""
+
+    number: int
+
+
+PeeringMessage = (
+    Hello | Farewell | DelegatedRequest | DelegationTaken | DelegatedReply | DelegationCancelled
+)
+
+_ENCODER = Encoder()
+_DECODER = Decoder(PeeringMessage)
+
+
+def encode_peering(message: PeeringMessage) -> bytes:
+    """Return the msgpack bytes of a message."""
+    return _ENCODER.encode(message)
+
+
+def decode_peering(data: bytes | memoryview) -> PeeringMessage | None:
+    """Return the message in ``data``, or None when it is malformed or of an unknown kind."""
+    try:
+        return _DECODER.decode(data)
+    except (DecodeError, ValidationError):
+        return None
--- a/packages/geraniumlead/src/geraniumlead/settings/platform_settings.py
+++ b/packages/geraniumlead/src/geraniumlead/settings/platform_settings.py
@@ -52,6 +52,8 @@
     listen: PlatformListenSettings
     store: Address
     seeds: list[Address] = []
+    peer_public_key: str = ""
+    peer_secret_key: str = ""
     bounds: PlatformBoundSettings
     log_level: str = "info"
     seed: int | None = None
@@ -67,6 +69,8 @@
         return ForwardingSettings(
             instance_id=self.instance_id,
             data_centre=self.data_centre,
+            address=self.listen.peers,
+            seeds=tuple(self.seeds),
             regions=self.data_centres,
             extra_share=bounds.extra_share,
             extra_slack=bounds.extra_slack,
