Time second attempts by the goal left, and margins by the measured way to the caller

Cause: a fixed margin of 8 ms lost answers by a millisecond where callers are 3 ms away, one of 16 ms lost parts where they are 1 ms away. The kernel knows the round trip of each connection. Second attempts started at 0.35 of the goal even where the way left no time for them. A peer now counts as reached by its echo.

--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/forwarding_sink.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/forwarding_sink.py
@@ -4,6 +4,8 @@
 
 from geraniumlead.forwarding import ForwardedRequest, MergedReply, OwnReply, RelayedReply, Reply
 from geraniumlead_server.forwarding_driver import ForwardingDriver
+from geraniumlead_server.forwarding_front.caller_way import UNKNOWN_ROUND_TRIP_MS
+from geraniumlead_server.forwarding_front.limited_protocol import WAY_MS
 from geraniumlead_server.platform import BadRequest, read_request, reply_headers
 
 BODY_TOO_LARGE = 413
@@ -24,7 +26,8 @@
             _refuse(response, BadRequest(BODY_TOO_LARGE, "the body is too large"))
             return
         key, arrived_ms = self._driver.next_key(), self._driver.now_ms()
-        asked = read_request(key, request.scope, body, arrived_ms)
+        way_ms = request.scope.get(WAY_MS, UNKNOWN_ROUND_TRIP_MS)
+        asked = read_request(key, request.scope, body, arrived_ms, way_ms)
         if isinstance(asked, BadRequest):
             _refuse(response, asked)
             return
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/limited_protocol.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/limited_protocol.py
@@ -1,9 +1,16 @@
-"""Hold callers' connections to the limits in force."""
+"""Hold callers' connections to the limits in force, and measure the way to them."""
 
 from collections.abc import Callable
 
 from geraniumlead.routes import RequestLimits
 from geraniumlead_server.bounded_protocol import BoundedProtocol
+from geraniumlead_server.forwarding_front.caller_way import measure_round_trip_ms
+
+IDLE_MARGIN_S = 2.0
+"""Longer than callers were told, so that no request meets a connection that closes."""
+
+WAY_MS = "geraniumlead.way_ms"
+"""Where the scope holds the time that the request's way has taken and the reply's will take."""
 
 
 def protocol_with_limits(limits: Callable[[], RequestLimits]) -> type[BoundedProtocol]:
@@ -12,6 +19,8 @@
     class LimitedProtocol(BoundedProtocol):
         """Take the limits of the operators' configuration."""
 
+        _round_trip_ms: float | None = None
+
         @property
         def most_header_bytes(self) -> int:
             return limits().header_bytes
@@ -20,13 +29,21 @@
         def message_timeout_s(self) -> float:
             return limits().header_timeout_ms / 1000.0
 
+        def on_message_begin(self) -> None:
+            """Tell the application how long the way is.
+
+            A caller that opened a connection for its request has waited a round trip more.
+            """
+            super().on_message_begin()
+            if self._round_trip_ms is None:
+                self._round_trip_ms = measure_round_trip_ms(self.transport.get_extra_info("socket"))
+                self.scope[WAY_MS] = 2.0 * self._round_trip_ms
+            else:
+                self.scope[WAY_MS] = self._round_trip_ms
+
         def on_response_complete(self) -> None:
             """Keep an idle connection as long as callers may count on it."""
             self.timeout_keep_alive = limits().idle_timeout_ms / 1000.0 + IDLE_MARGIN_S
             super().on_response_complete()
 
     return LimitedProtocol
-
-
-IDLE_MARGIN_S = 2.0
-"""Longer than callers were told, so that no request meets a connection that closes."""
--- a/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
@@ -8,6 +8,7 @@
 import zmq
 import zmq.asyncio
 
+from geraniumlead.peering.peer_letter import SEED_PREFIX
 from geraniumlead.settings import InstanceSettings, PlatformSettings
 from geraniumlead_server.peer_transport.dealers import Dealers
 from geraniumlead_server.peer_transport.letter import Letter, PeerCodec
@@ -31,6 +32,9 @@
 
 ZAP_DOMAIN = "peers"
 
+NAME_SEPARATOR = "/"
+"""Ends the instance's name in the identity of a connection; names hold no slash."""
+
 
 class PeerTransport:
     """Bind one ROUTER for what comes in, and keep one DEALER for each peer written to.
@@ -142,7 +146,7 @@
     def _find_sender(self, frames: list) -> str | None:
         if self.has_keys:
             return self._keys.owner_of(frames[-1].get("User-Id"))
-        return frames[0].decode(errors="replace")
+        return frames[0].decode(errors="replace").partition(NAME_SEPARATOR)[0]
 
     def _open_dealer(self, action: Letter) -> zmq.Socket:
         dealer = self._context.socket(zmq.DEALER, socket_class=zmq.Socket)
@@ -151,7 +155,10 @@
             self._set_keys(dealer)
             dealer.curve_serverkey = action.public_key.encode()
         else:
-            dealer.setsockopt(zmq.IDENTITY, self._settings.instance_id.encode())
+            # Two connections under one name would take it from each other again and again.
+            is_named = not action.instance_id.startswith(SEED_PREFIX)
+            suffix = "" if is_named else f"{NAME_SEPARATOR}seed"
+            dealer.setsockopt(zmq.IDENTITY, f"{self._settings.instance_id}{suffix}".encode())
         dealer.connect(f"tcp://{action.address}")
         return dealer
 
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/requests.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/requests.py
@@ -27,7 +27,7 @@
 
 
 def read_request(
-    key: int, scope: dict, body: bytes, arrived_ms: float
+    key: int, scope: dict, body: bytes, arrived_ms: float, way_ms: float
 ) -> ForwardedRequest | BadRequest:
     """Return the request of an ASGI scope, with its target as the caller sent it."""
     headers = []
@@ -59,6 +59,7 @@
         body=body,
         arrived_ms=arrived_ms,
         wait_ms=wait_ms,
+        way_ms=way_ms,
     )
 
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
@@ -85,10 +85,10 @@
         regions = self._regions_of(services, opened.route)
         peers = [
             peer
-            for peer in self._directory.live(now_ms)
-            if self._settings.regions.get(peer.contact.data_centre) in regions
+            for peer in self._directory.peers.values()
+            if self._directory.is_reached(peer, now_ms)
+            and self._settings.regions.get(peer.contact.data_centre) in regions
             and peer.is_ready
-            and peer.silent_ms is None
             and peer.version >= opened.configuration.version
             and peer.open_delegations < MOST_OPEN
         ]
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
@@ -10,7 +10,8 @@
     ``key`` is unique in this process; ``request_id`` is the caller's own and may repeat.
     ``target`` is path and query as they were sent. ``headers`` leave out those of one
     connection. Times are of the monotonic clock, in milliseconds; ``wait_ms`` is how long
-    the caller said it waits. ``goal_left_ms`` is when the reply has to leave and ``shards``
+    the caller said it waits, and ``way_ms`` what the request's way has taken and the reply's
+    will take. ``goal_left_ms`` is when the reply has to leave and ``shards``
     are those to ask, where a peer passed the request here.
     """
 
@@ -24,6 +25,7 @@
     body: bytes
     arrived_ms: float
     wait_ms: float | None
+    way_ms: float = 0.0
     goal_left_ms: float | None = None
     shards: tuple[str, ...] = ()
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/late_clock.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/late_clock.py
@@ -12,16 +12,24 @@
 """Share of the attempts that count as late: pauses hit about one in twenty-five, the rest is
 the tail of ordinary work."""
 
-MOST_LATE_GOAL_SHARE = 0.35
-"""Part of the goal after which an attempt is late however slow others are: a second one then
-has the better half of the goal left."""
+SECOND_SHARE = 0.9
+"""Share of the second attempts that should still make the goal: what is late is repeated so
+much before the goal as nine in ten attempts take."""
 
-LAST_CHANCE_GOAL_SHARE = 0.55
-"""Part of the goal after which a second attempt comes last: later, it can seldom make it."""
+LAST_CHANCE_SHARE = 0.6
+"""The same with a short budget: waiting longer spares those that still come by themselves."""
+
+LEAST_LATE_FACTOR = 1.3
+"""An attempt is not late before it took this much longer than usual, however near the goal
+is: half of all attempts would be repeated."""
 
 UNKNOWN_USUAL_GOAL_SHARE = 0.15
 """Guess of the usual latency before any is known."""
 
+UNKNOWN_LATE_GOAL_SHARE = 0.35
+"""Guess of when an attempt is late before any latency is known: a second one then has the
+better half of the goal left."""
+
 
 class LateClock:
     """Learn the latencies of each route."""
@@ -41,17 +49,22 @@
         found_ms = self._clock.delay_ms(route.name, 0.5, now_ms)
         return found_ms or UNKNOWN_USUAL_GOAL_SHARE * route.latency_goal_ms
 
-    def late_ms(self, route: Route, now_ms: float, has_plenty: bool) -> float:
-        """Return after which time an attempt is late.
+    def late_ms(self, route: Route, goal_left_ms: float, now_ms: float, has_plenty: bool) -> float:
+        """Return after which time an attempt is late that had ``goal_left_ms`` to the goal.
 
         With a short budget the second attempt waits for its last chance: most of what is a
         little late is ordinary work and still comes.
         """
-        if not has_plenty:
-            return LAST_CHANCE_GOAL_SHARE * route.latency_goal_ms
-        most_ms = MOST_LATE_GOAL_SHARE * route.latency_goal_ms
         found_ms = self._clock.delay_ms(route.name, LATE_SHARE, now_ms)
-        return most_ms if found_ms is None else min(most_ms, found_ms)
+        second_share = SECOND_SHARE if has_plenty else LAST_CHANCE_SHARE
+        second_ms = self._clock.delay_ms(route.name, 1.0 - second_share, now_ms)
+        if found_ms is None or second_ms is None:
+            return UNKNOWN_LATE_GOAL_SHARE * route.latency_goal_ms
+        latest_ms = goal_left_ms - second_ms
+        if latest_ms <= 0.0:
+            return found_ms
+        late_ms = min(found_ms, latest_ms) if has_plenty else latest_ms
+        return max(late_ms, LEAST_LATE_FACTOR * self.usual_ms(route, now_ms))
 
     def goal_ms(self, route: Route, request: ForwardedRequest) -> float:
         """Return until when an answer earns its full credit, on the monotonic clock.
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -31,9 +31,8 @@
     SplitServices,
 )
 
-REPLY_MARGIN_MS = 16.0
-"""Left of the goal for the way: a caller that opens a connection has spent three ways of some
-3 ms before its request is here, the answer takes one more, and the loop is busy some ms."""
+REPLY_MARGIN_MS = 7.0
+"""Left of the goal for this instance's own work: the loop is seldom busy for longer."""
 
 END_MARGIN_MS = 20.0
 """Left of the caller's wait, so that the answer arrives before it gives up."""
@@ -130,7 +129,7 @@
             # The peer that passed it here has taken its margins from both.
             return goal_ms, request.arrived_ms + wait_ms
         end_ms = request.arrived_ms + max(0.0, wait_ms - END_MARGIN_MS)
-        return goal_ms - REPLY_MARGIN_MS, end_ms
+        return goal_ms - request.way_ms - REPLY_MARGIN_MS, end_ms
 
     def take_delegated(self, delegation: Delegation, reply: DelegatedReply, now_ms: float) -> None:
         """Take in what a peer brought for the shards that it was asked to ask."""
@@ -314,7 +313,7 @@
             if leg.is_settled or len(leg.open_attempts) != 1:
                 continue
             (attempt,) = leg.open_attempts.values()
-            if now_ms < attempt.sent_ms + self._late_ms(leg, now_ms):
+            if now_ms < attempt.sent_ms + self._late_ms(attempt, now_ms):
                 continue
             if not attempt.is_overdue:
                 self._book.note_overdue(attempt, now_ms)
@@ -324,9 +323,11 @@
             if upstream is not None:
                 self._book.send_again(leg, upstream, "late", now_ms)
 
-    def _late_ms(self, leg: Leg, now_ms: float) -> float:
-        has_plenty = self._book.budgets.has_plenty(leg.service, now_ms)
-        return self._book.clock.late_ms(leg.request.route, now_ms, has_plenty)
+    def _late_ms(self, attempt: Attempt, now_ms: float) -> float:
+        opened = attempt.leg.request
+        has_plenty = self._book.budgets.has_plenty(attempt.leg.service, now_ms)
+        goal_left_ms = opened.goal_ms - attempt.sent_ms
+        return self._book.clock.late_ms(opened.route, goal_left_ms, now_ms, has_plenty)
 
     def _arm(self, opened: OpenRequest, now_ms: float) -> None:
         """Set the next time at which the request is looked after."""
@@ -338,7 +339,7 @@
                 if leg.is_settled or len(leg.open_attempts) != 1:
                     continue
                 (attempt,) = leg.open_attempts.values()
-                late_ms = attempt.sent_ms + self._late_ms(leg, now_ms)
+                late_ms = attempt.sent_ms + self._late_ms(attempt, now_ms)
                 if late_ms > now_ms:
                     due_ms = min(due_ms, late_ms)
         if due_ms != opened.check_ms:
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -2,7 +2,7 @@
 
 from geraniumlead.peering.known_peer import KnownPeer
 from geraniumlead.peering.messages import Farewell, Hello, PeerContact
-from geraniumlead.peering.peer_letter import PeerLetter
+from geraniumlead.peering.peer_letter import SEED_PREFIX, PeerLetter
 
 BEAT_MS = 1_000.0
 """Time between two hellos to a peer: a hello is some 150 bytes, so six peers cost 1 KB/s."""
@@ -73,6 +73,15 @@
         """Return whether a peer was heard lately and did not say farewell."""
         return now_ms - peer.heard_ms < LIVE_MS and peer.incarnation != peer.left_incarnation
 
+    def is_reached(self, peer: KnownPeer, now_ms: float) -> bool:
+        """Return whether a live peer lately had a message of this instance.
+
+        Failure: messages pass in one direction only. The peer is heard each second, but what
+        is passed to it is lost, and every request would wait for its word in vain.
+        """
+        is_echoed = now_ms - peer.echoed_ms < LIVE_MS + BEAT_MS
+        return is_echoed and peer.silent_ms is None and self.is_live(peer, now_ms)
+
     def live(self, now_ms: float) -> list[KnownPeer]:
         """Return the live peers."""
         return [peer for peer in self.peers.values() if self.is_live(peer, now_ms)]
@@ -110,7 +119,7 @@
         for address in self._seeds:
             if address not in reached:
                 hello = self._hello(None, version, is_ready, now_ms)
-                letters.append(PeerLetter(f"seed {address}", address, hello))
+                letters.append(PeerLetter(f"{SEED_PREFIX}{address}", address, hello))
         return letters
 
     def greet(self, peer: KnownPeer, version: int, is_ready: bool, now_ms: float) -> PeerLetter:
@@ -131,13 +140,15 @@
             greeted.append(peer)
         peer.contact = hello.contact
         peer.heard_ms = now_ms
-        peer.silent_ms = None
         peer.incarnation = hello.incarnation
         peer.version = hello.version
         peer.is_ready = hello.is_ready
         peer.clock_ms = hello.sent_ms
         if hello.echo_ms is not None:
             peer.note_way((now_ms - hello.echo_ms - hello.held_ms) / 2.0)
+            peer.echoed_ms = hello.echo_ms
+            if peer.silent_ms is not None and hello.echo_ms > peer.silent_ms:
+                peer.silent_ms = None
         for contact in hello.known:
             is_self = contact.instance_id == self._contact.instance_id
             if not is_self and contact.instance_id not in self.peers:
--- a/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
@@ -10,12 +10,16 @@
 
 @dataclass(slots=True)
 class KnownPeer:
-    """Hold what a peer said of itself, and when it was heard."""
+    """Hold what a peer said of itself, and when it was heard.
+
+    ``echoed_ms`` is this instance's clock in the latest hello that the peer has had of it.
+    """
 
     contact: PeerContact
     heard_ms: float = float("-inf")
     mentioned_ms: float = float("-inf")
     told_ms: float = float("-inf")
+    echoed_ms: float = float("-inf")
     silent_ms: float | None = None
     incarnation: int = 0
     left_incarnation: int | None = None
--- a/packages/geraniumlead/src/geraniumlead/peering/peer_letter.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/peer_letter.py
@@ -4,6 +4,9 @@
 
 from geraniumlead.peering.messages import PeeringMessage
 
+SEED_PREFIX = "seed "
+"""Begins the name of a receiver of whom only the address is known yet."""
+
 
 @dataclass(frozen=True, slots=True)
 class PeerLetter:
