--- a/packages/geraniumlead-server/src/geraniumlead_server/daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/daemon.py
@@ -13,9 +13,10 @@
 from geraniumlead.settings import InstanceSettings
 from geraniumlead_server.callers import build_callers_app
 from geraniumlead_server.driver import InstanceDriver
-from geraniumlead_server.logs import RequestLog
+from geraniumlead_server.logs.request_log import RequestLog
 from geraniumlead_server.operators import RecentRequests, build_operators_app
-from geraniumlead_server.peer_transport import PeerCodec, PeerTransport, PublishedKeys
+from geraniumlead_server.peer_transport import PeerCodec, PeerTransport
+from geraniumlead_server.peer_transport.published_keys import PublishedKeys
 from geraniumlead_server.platform_client import PlatformClient
 from geraniumlead_server.telemetry import MetricsPage, RequestMetrics
 from geraniumlead_server.upstream_client import UpstreamClient
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/__init__.py
@@ -0,0 +1,9 @@
+"""Log and measure forwarded requests.
+
+The metrics are no part of the public names here: their library takes a quarter of a start,
+and is loaded when the process already serves.
+"""
+
+from geraniumlead_server.forwarding_telemetry.decision_log import DecisionLog
+
+__all__ = ["DecisionLog"]
--- a/packages/geraniumlead-server/src/geraniumlead_server/telemetry/forwarding_metrics.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
@@ -5,7 +5,7 @@
 from opentelemetry.sdk.metrics.export import MetricReader
 
 from geraniumlead.forwarding import Forwarder, LogDecision
-from geraniumlead_server.telemetry.metrics import LATENCY_BOUNDS_MS
+from geraniumlead_server.forwarding_telemetry.bounds import LATENCY_BOUNDS_MS
 
 MOST_ROUTES = 200
 """Routes with labels of their own; a configuration that grows by hundreds shares one more."""
--- a/packages/geraniumlead-server/src/geraniumlead_server/logs/__init__.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/logs/__init__.py
@@ -1,8 +1,10 @@
-"""Write logs as JSON lines."""
+"""Write logs as JSON lines.
+
+The request log of the query interface is imported from its own module: with it come all
+decisions of that interface, which a daemon on the users' platform does not load.
+"""
 
-from geraniumlead_server.logs.decision_log import DecisionLog
 from geraniumlead_server.logs.json_formatter import JsonFormatter, configure_logging
 from geraniumlead_server.logs.queued_output import QueuedOutput
-from geraniumlead_server.logs.request_log import RequestLog
 
-__all__ = ["DecisionLog", "JsonFormatter", "QueuedOutput", "RequestLog", "configure_logging"]
+__all__ = ["JsonFormatter", "QueuedOutput", "configure_logging"]
--- a/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import zmq
 import zmq.asyncio
@@ -12,7 +12,9 @@
 from geraniumlead.settings import InstanceSettings, PlatformSettings
 from geraniumlead_server.peer_transport.dealers import Dealers
 from geraniumlead_server.peer_transport.letter import Letter, PeerCodec
-from geraniumlead_server.peer_transport.published_keys import PublishedKeys
+
+if TYPE_CHECKING:
+    from geraniumlead_server.peer_transport.published_keys import PublishedKeys
 
 logger = logging.getLogger("geraniumlead")
 
@@ -55,7 +57,7 @@
         self,
         settings: InstanceSettings | PlatformSettings,
         report: Callable[[str, Any], None],
-        keys: PublishedKeys | None,
+        keys: "PublishedKeys | None",
         codec: PeerCodec,
     ) -> None:
         self._settings = settings
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_client/client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_client/client.py
@@ -9,7 +9,7 @@
 
 from geraniumlead.documents import VersionedValue
 from geraniumlead.events import DocumentsReceived, PlatformSilent
-from geraniumlead_server.platform_client.backoff import Backoff
+from geraniumlead_server.backoff import Backoff
 from geraniumlead_server.platform_client.call_budget import CallBudget
 from geraniumlead_server.platform_client.errors import PLATFORM_ERRORS
 from geraniumlead_server.platform_client.seen_keys import SeenKeys
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -25,11 +25,10 @@
     build_ready_app,
     protocol_with_limits,
 )
-from geraniumlead_server.logs import DecisionLog
+from geraniumlead_server.forwarding_telemetry import DecisionLog
 from geraniumlead_server.peer_transport import PeerCodec, PeerTransport
 from geraniumlead_server.platform import StoreClient
 from geraniumlead_server.store_follower import StoreFollower
-from geraniumlead_server.telemetry import ForwardingMetrics, MetricsPage
 from geraniumlead_server.upstream_client.attempt_client import AttemptClient
 from geraniumlead_server.web_server import WebServer
 
@@ -47,6 +46,9 @@
 
 SETTINGS_CHECK_S = 1.0
 
+METRICS_DELAY_S = 8.0
+"""Longer than callers' queues need to clear after a loss of power."""
+
 logger = logging.getLogger("geraniumlead")
 
 
@@ -95,6 +97,7 @@
         background = [
             self._loop.create_task(self._follow_store()),
             self._loop.create_task(self._watch_settings()),
+            self._loop.create_task(self._serve_metrics()),
         ]
         logger.info("started", extra={"fields": {"seeds": len(self._settings.seeds)}})
         await self._stopping.wait()
@@ -107,15 +110,8 @@
         logger.info("stopped")
 
     def _build_servers(self) -> list[WebServer]:
-        page = MetricsPage()
-        metrics = ForwardingMetrics(self._driver.forwarder, page.reader)
         log = DecisionLog(self._driver.now_ms())
-        self._driver.observers += [
-            metrics.observe,
-            lambda decision: log.observe(decision, self._driver.now_ms()),
-        ]
-        metrics_app = falcon.asgi.App()
-        metrics_app.add_route("/metrics", page)
+        self._driver.observers.append(lambda decision: log.observe(decision, self._driver.now_ms()))
         listen = self._settings.listen
         front = build_forwarding_app(self._driver)
         protocol = protocol_with_limits(lambda: self._driver.limits)
@@ -123,9 +119,27 @@
         return [
             WebServer.from_address(front, listen.callers, SPARE_CONNECTIONS, protocol),
             WebServer.from_address(ready, listen.ready, OTHER_CONNECTIONS),
-            WebServer.from_address(metrics_app, listen.metrics, OTHER_CONNECTIONS),
         ]
 
+    async def _serve_metrics(self) -> None:
+        """Serve the metrics page, some time after the start.
+
+        Their library takes a quarter of a start. After a loss of power callers wait for the
+        first instance that listens; nobody reads metrics in its first seconds.
+        """
+        await asyncio.sleep(METRICS_DELAY_S)
+        from geraniumlead_server.forwarding_telemetry.metrics import ForwardingMetrics
+        from geraniumlead_server.forwarding_telemetry.page import MetricsPage
+
+        page = MetricsPage()
+        metrics = ForwardingMetrics(self._driver.forwarder, page.reader)
+        self._driver.observers.append(metrics.observe)
+        app = falcon.asgi.App()
+        app.add_route("/metrics", page)
+        address = self._settings.listen.metrics
+        server = WebServer.from_address(app, address, OTHER_CONNECTIONS)
+        await server.serve()
+
     async def _follow_store(self) -> None:
         bounds = self._settings.bounds
         bound_ms = min(bounds.drain_ms, bounds.configuration_ms, bounds.evacuation_ms)
--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -6,8 +6,8 @@
 from random import Random
 
 from geraniumlead.forwarding import PublishedNews, StoreLost
+from geraniumlead_server.backoff import Backoff
 from geraniumlead_server.platform import HistoryGoneError, StoreClient, StoreError
-from geraniumlead_server.platform_client.backoff import Backoff
 
 WATCH_MS = 1_000
 """How long a watch waits for a change; upstreams' heartbeats seldom let it."""
--- a/packages/geraniumlead-server/src/geraniumlead_server/telemetry/metrics.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/telemetry/metrics.py
@@ -10,10 +10,10 @@
 from geraniumlead.instance import Instance
 from geraniumlead.instance.status import InstanceStatus
 from geraniumlead.requests import Answered, Failed, NotRun, Unknown
+from geraniumlead_server.forwarding_telemetry.bounds import LATENCY_BOUNDS_MS
 from geraniumlead_server.telemetry.counted_series import CountedSeries
 from geraniumlead_server.telemetry.label_book import LabelBook
 
-LATENCY_BOUNDS_MS = (1, 2, 4, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256, 512, 1024, 4096, 16384)
 COVERAGE_BOUNDS = (0.0, 0.5, 0.8, 0.9, 0.95, 0.98, 0.99, 0.995, 0.999, 1.0)
 FAN_OUT_BOUNDS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1200, 4096)
 
--- a/packages/geraniumlead-server/tests/server_tests/logs/test_request_log.py
+++ b/packages/geraniumlead-server/tests/server_tests/logs/test_request_log.py
@@ -4,7 +4,7 @@
 from unittest import TestCase
 
 from geraniumlead.requests import NotRun, RefusalReason
-from geraniumlead_server.logs import RequestLog
+from geraniumlead_server.logs.request_log import RequestLog
 from server_tests.builders import build_answer
 
 
--- a/packages/geraniumlead-server/tests/server_tests/peer_transport/test_transport.py
+++ b/packages/geraniumlead-server/tests/server_tests/peer_transport/test_transport.py
@@ -10,7 +10,8 @@
 from geraniumlead.documents import InstanceEntry
 from geraniumlead.peers import Goodbye
 from geraniumlead.settings import InstanceSettings, ListenSettings
-from geraniumlead_server.peer_transport import PeerTransport, PublishedKeys
+from geraniumlead_server.peer_transport import PeerTransport
+from geraniumlead_server.peer_transport.published_keys import PublishedKeys
 from server_tests.ports import find_free_port
 
 LONGEST_WAIT_S = 5.0
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
@@ -31,6 +31,9 @@
 PEER_WORK_MS = 3.0
 """What the peer's own work takes from the goal."""
 
+LEAST_GOAL_LEFT_MS = 10.0
+"""Time below which a peer can't bring anything before the goal; upstreams work for longer."""
+
 MOST_OPEN = 200
 """Requests that one peer may have of this instance; more would only wait in its loop."""
 
@@ -109,6 +112,11 @@
         peer.open_delegations += 1
         opened.delegation = delegation.number
         request = opened.request
+        time_left_ms = max(0.0, opened.end_ms - now_ms - way_ms)
+        goal_left_ms = opened.goal_ms - now_ms - 2.0 * way_ms - PEER_WORK_MS
+        if goal_left_ms < LEAST_GOAL_LEFT_MS:
+            # It will be late in any case, and then only needs enough shards.
+            goal_left_ms = time_left_ms - way_ms
         message = DelegatedRequest(
             number=delegation.number,
             version=opened.configuration.version,
@@ -121,8 +129,8 @@
             target=request.target,
             headers=request.headers,
             body=request.body,
-            time_left_ms=max(0.0, opened.end_ms - now_ms - way_ms),
-            goal_left_ms=opened.goal_ms - now_ms - 2.0 * way_ms - PEER_WORK_MS,
+            time_left_ms=time_left_ms,
+            goal_left_ms=goal_left_ms,
         )
         return PeerLetter(peer.contact.instance_id, peer.contact.address, message)
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -39,6 +39,7 @@
 
 NEVER_MS = float("inf")
 OK = 200
+DECLINED = "declined"
 
 
 class RequestRunner:
@@ -135,36 +136,22 @@
         """Take in what a peer brought for the shards that it was asked to ask."""
         opened = delegation.opened
         if reply.is_declined:
-            self.take_back(delegation, "declined", now_ms)
+            self.take_back(delegation, DECLINED, now_ms)
             return
         signatures = dict(reply.signatures)
         records = reply.records
         for leg in delegation.legs:
             signature = signatures.get(leg.service)
-            if signature is None:
-                opened.settle_failed(leg, "missing at the peer", now_ms)
-                continue
-            # The records are those of all the peer's shards; they are merged once.
-            opened.settle_answered(leg, Completed(OK, (), records, signature))
-            records = b""
-        self._finish_if_done(opened, now_ms)
+            if signature is not None:
+                # The records are those of all the peer's shards; they are merged once.
+                opened.settle_answered(leg, Completed(OK, (), records, signature))
+                records = b""
+        missing = [leg for leg in delegation.legs if not leg.is_settled]
+        self._ask_again(opened, missing, "missing at the peer", now_ms)
 
     def take_back(self, delegation: Delegation, why: str, now_ms: float) -> None:
         """Ask the shards from here that a peer did not take."""
-        opened = delegation.opened
-        for leg in delegation.legs:
-            upstream = self._book.choose(leg, now_ms)
-            if upstream is None:
-                opened.settle_failed(leg, f"{why}, no upstream", now_ms)
-            elif why == "declined":
-                self._book.send(leg, upstream, now_ms)
-            elif self._book.budgets.may_repeat_failed(leg.service, now_ms):
-                # The peer may have asked already, and only its word is late or lost.
-                self._book.send_again(leg, upstream, why, now_ms)
-            else:
-                opened.settle_failed(leg, f"{why}, no budget", now_ms)
-        if not self._finish_if_done(opened, now_ms):
-            self._arm(opened, now_ms)
+        self._ask_again(delegation.opened, delegation.legs, why, now_ms)
 
     def finish_attempt(self, attempt_id: int, result: AttemptResult, now_ms: float) -> None:
         """Take in the end of an attempt; one that nobody waits for is dropped."""
@@ -201,6 +188,23 @@
         for opened in list(self._open.values()):
             self._finish(opened, "stopping", now_ms)
 
+    def _ask_again(self, opened: OpenRequest, legs: list[Leg], why: str, now_ms: float) -> None:
+        """Ask shards from here that a peer did not bring."""
+        for leg in legs:
+            is_too_late = opened.has_enough and now_ms >= opened.goal_ms
+            upstream = None if is_too_late else self._book.choose(leg, now_ms)
+            if upstream is None:
+                opened.settle_failed(leg, f"{why}, no upstream", now_ms)
+            elif why == DECLINED:
+                self._book.send(leg, upstream, now_ms)
+            elif self._book.budgets.may_repeat_failed(leg.service, now_ms):
+                # The peer may have asked already, and only its word is late or lost.
+                self._book.send_again(leg, upstream, why, now_ms)
+            else:
+                opened.settle_failed(leg, f"{why}, no budget", now_ms)
+        if not self._finish_if_done(opened, now_ms):
+            self._arm(opened, now_ms)
+
     def _choose_all(self, opened: OpenRequest, now_ms: float) -> list[tuple[Leg, UpstreamRecord]]:
         chosen: list[tuple[Leg, UpstreamRecord]] = []
         for leg in opened.legs:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/upstream_estimate.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/upstream_estimate.py
@@ -14,10 +14,15 @@
 FAILURE_HALVES_MS = 2_000.0
 
 STALL_MS = 250.0
-"""Time for which an upstream with an overdue call is passed over; pauses last about so long."""
+"""Time for which an upstream with an overdue call is passed over first; pauses last about so
+long."""
 
 REFUSED_MS = 500.0
-"""Time for which an upstream that refuses connections is passed over; a start takes seconds."""
+"""The same for an upstream that refuses connections; a start takes seconds."""
+
+MOST_AVOID_MS = 4_000.0
+"""Longest time for which an upstream is passed over before it is tried again: each try of one
+without power costs a query a second attempt, and slow phases and starts last some seconds."""
 
 
 @dataclass(slots=True)
@@ -34,6 +39,7 @@
     failure_share: float = 0.0
     failure_ms: float = 0.0
     avoid_until_ms: float = float("-inf")
+    troubles_in_row: int = 0
 
     def slowness_at(self, now_ms: float) -> float:
         """Return the slowness, which falls back to 1 while nothing is seen."""
@@ -51,6 +57,7 @@
         self.slowness = before + SLOWNESS_WEIGHT * (slowness - before)
         self.slowness_ms = now_ms
         self.avoid_until_ms = float("-inf")
+        self.troubles_in_row = 0
         self._note_failure_share(0.0, now_ms)
 
     def note_at_least(self, slowness: float, now_ms: float) -> None:
@@ -62,7 +69,7 @@
 
     def note_overdue(self, now_ms: float) -> None:
         """Pass over an upstream whose call is overdue, until it answers."""
-        self.avoid_until_ms = max(self.avoid_until_ms, now_ms + STALL_MS)
+        self._avoid(STALL_MS, now_ms)
 
     def note_failure(self, now_ms: float) -> None:
         """Learn from a call that failed or was rejected."""
@@ -71,7 +78,18 @@
     def note_refused(self, now_ms: float) -> None:
         """Learn from a connection that did not come about."""
         self._note_failure_share(1.0, now_ms)
-        self.avoid_until_ms = max(self.avoid_until_ms, now_ms + REFUSED_MS)
+        self._avoid(REFUSED_MS, now_ms)
+
+    def _avoid(self, first_ms: float, now_ms: float) -> None:
+        """Pass it over, twice as long for each trouble in a row.
+
+        Calls that were sent before the upstream was passed over say nothing new.
+        """
+        if now_ms < self.avoid_until_ms:
+            return
+        avoid_ms = min(MOST_AVOID_MS, first_ms * 2.0**self.troubles_in_row)
+        self.avoid_until_ms = now_ms + avoid_ms
+        self.troubles_in_row += 1
 
     def _note_failure_share(self, failed: float, now_ms: float) -> None:
         before = self.failure_share_at(now_ms)
