--- /dev/null
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_platform_process.py
@@ -0,0 +1,125 @@
+"""Test the daemon on the platform: real processes, a caller over HTTP, kill and stop."""
+
+import asyncio
+import signal
+from unittest import IsolatedAsyncioTestCase
+
+from geraniumlead_standins.forwarding import UpstreamFault
+from server_tests.forwarding.platform_process import HOST, PlatformProcess
+
+LONGEST_WAIT_S = 10.0
+
+
+class PlatformProcessTests(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.platform = PlatformProcess()
+        self.addAsyncCleanup(self.platform.stop)
+        await self.platform.start()
+
+    async def wait_until(self, condition) -> None:
+        async with asyncio.timeout(LONGEST_WAIT_S):
+            while not await condition():
+                await asyncio.sleep(0.05)
+
+    async def send_raw(self, data: bytes) -> bytes:
+        host, port = self.platform.listen["callers"].split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        try:
+            return await asyncio.wait_for(reader.read(200), LONGEST_WAIT_S)
+        finally:
+            writer.close()
+
+    async def test_requests_of_both_kinds_are_served(self):
+        status, headers, body = await self.platform.ask("/pages/a%2Fb?x=%20")
+        self.assertEqual((200, b"answer"), (status, body))
+        self.assertTrue(headers["Response-Stamp"].endswith(".r-1"))
+        ran = [request for upstream in self.platform.pages for request in upstream.ran]
+        self.assertEqual(["/pages/a%2Fb?x=%20"], [request.raw_path for request in ran])
+        status, headers, body = await self.platform.ask("/search/x")
+        self.assertEqual((200, b"5" * 16 + b"3" * 16), (status, body))
+        self.assertEqual(2, len(headers["Part-Stamps"].split(",")))
+        self.assertEqual("0", headers["Missing-Parts"])
+
+    async def test_bodies_with_a_length_or_in_chunks_arrive_whole(self):
+        async def pieces():
+            yield b"one,"
+            yield b"two"
+
+        for data in (b"one,two", pieces()):
+            status, _, _ = await self.platform.ask("/book/1", "POST", data=data)
+            self.assertEqual(200, status)
+        bodies = [body for upstream in self.platform.pages for body in upstream.bodies]
+        self.assertEqual([b"one,two", b"one,two"], bodies)
+
+    async def test_bad_requests_are_refused_with_the_right_status(self):
+        status, _, _ = await self.platform.ask("/nowhere/")
+        self.assertEqual(404, status)
+        status, _, _ = await self.platform.ask("/book/1", "POST", data=b"x" * 2001)
+        self.assertEqual(413, status)
+        head = f"GET /pages/ HTTP/1.1\r\nHost: {HOST}\r\n".encode()
+        self.assertIn(b" 400 ", await self.send_raw(head + b"\r\n"))
+        self.assertIn(b" 400 ", await self.send_raw(b"NONSENSE\r\n\r\n"))
+        self.assertIn(b" 408 ", await self.send_raw(head))
+        self.assertIn(b" 431 ", await self.send_raw(head + b"X-Long: " + b"x" * 9000))
+
+    async def test_a_booking_whose_answer_is_lost_runs_once(self):
+        for upstream in self.platform.pages:
+            upstream.fault = UpstreamFault.RESET
+        status, _, _ = await self.platform.ask("/book/1", "POST", data=b"hour")
+        self.assertEqual(502, status)
+        self.assertEqual(1, sum(len(upstream.ran) for upstream in self.platform.pages))
+
+    async def test_a_caller_that_leaves_frees_the_upstream(self):
+        for upstream in self.platform.pages:
+            upstream.fault = UpstreamFault.HANG
+        task = asyncio.create_task(self.platform.ask("/book/1", "POST", data=b"hour"))
+
+        async def runs() -> bool:
+            return any(upstream.ran for upstream in self.platform.pages)
+
+        async def is_cancelled() -> bool:
+            return any(upstream.cancelled for upstream in self.platform.pages)
+
+        await self.wait_until(runs)
+        task.cancel()
+        await self.wait_until(is_cancelled)
+
+    async def test_a_change_of_the_configuration_is_in_force_soon(self):
+        self.platform.publish(routes=[])
+
+        async def is_gone() -> bool:
+            return (await self.platform.ask("/pages/1"))[0] == 404
+
+        await self.wait_until(is_gone)
+
+    async def test_the_store_may_go_away_and_come_back(self):
+        self.platform.store.status = 503
+        await asyncio.sleep(0.5)
+        status, _, _ = await self.platform.ask("/pages/1")
+        self.assertEqual(200, status)
+        self.assertEqual(200, await self.platform.ready_status())
+
+    async def test_a_stop_finishes_what_is_open(self):
+        """SIGTERM comes while a request is at its upstream.
+
+        The caller gets its answer, and is told to use another connection; the balancer is
+        told at once that nothing more is wanted.
+        """
+        for upstream in self.platform.pages:
+            upstream.delay_s = 0.8
+        task = asyncio.create_task(self.platform.ask("/pages/1"))
+        await asyncio.sleep(0.3)
+        ended = asyncio.create_task(self.platform.end_daemon())
+        await asyncio.sleep(0.2)
+        self.assertEqual(503, await self.platform.ready_status())
+        status, headers, _ = await task
+        self.assertEqual(200, status)
+        self.assertEqual("close", headers["Connection"])
+        self.assertEqual(0, await ended)
+
+    async def test_a_killed_process_serves_again_from_what_is_published(self):
+        self.assertEqual(-signal.SIGKILL, await self.platform.end_daemon(signal.SIGKILL))
+        await self.platform.start_daemon()
+        status, _, _ = await self.platform.ask("/search/x")
+        self.assertEqual(200, status)
--- a/packages/geraniumlead-server/tests/server_tests/peer_transport/test_transport.py
+++ b/packages/geraniumlead-server/tests/server_tests/peer_transport/test_transport.py
@@ -8,9 +8,10 @@
 from geraniumlead.actions import SendToPeer
 from geraniumlead.configuration import ClusterView
 from geraniumlead.documents import InstanceEntry
-from geraniumlead.peers import Goodbye
+from geraniumlead.peering.peer_letter import PeerLetter
+from geraniumlead.peers import Goodbye, decode_message, encode_message
 from geraniumlead.settings import InstanceSettings, ListenSettings
-from geraniumlead_server.peer_transport import PeerTransport
+from geraniumlead_server.peer_transport import PeerCodec, PeerTransport
 from geraniumlead_server.peer_transport.published_keys import PublishedKeys
 from server_tests.ports import find_free_port
 
@@ -37,14 +38,19 @@
             peer_public_key=self.public_key,
             peer_secret_key=secret.decode(),
         )
-        self.transport = PeerTransport(settings, self._take, PublishedKeys(lambda: network.view))
+        self.transport = PeerTransport(
+            settings,
+            self._take,
+            PublishedKeys(lambda: network.view),
+            PeerCodec(encode_message, decode_message),
+        )
         self.transport.start()
 
     def send(self, other: "Node", text: str) -> None:
         self.transport.send(SendToPeer(other.name, other.address, Goodbye(text), other.public_key))
 
-    def _take(self, event) -> None:
-        self.received.append((event.sender_id, event.message.incarnation))
+    def _take(self, sender_id: str, message: Goodbye) -> None:
+        self.received.append((sender_id, message.incarnation))
 
 
 class Network:
@@ -145,3 +151,18 @@
             one.send(other, str(number))
         await self.wait_for(lambda: len(other.received) == 900)
         self.assertEqual(("noord-0", "899"), other.received[-1])
+
+    async def test_connections_to_a_seed_and_to_its_name_do_not_take_turns(self):
+        """A hello goes to a seed's address before its name is known, and later to the name.
+
+        Both connections reach the same instance. Under one identity each would take it from
+        the other, and whatever came on the loser was dropped: one direction stayed dead.
+        """
+        one = self.add("noord-0", with_keys=False)
+        other = self.add("noord-1", with_keys=False)
+        for number in range(3):
+            one.transport.send(PeerLetter(f"seed {other.address}", other.address, Goodbye("seed")))
+            one.transport.send(PeerLetter("noord-1", other.address, Goodbye(str(number))))
+            await asyncio.sleep(0.2)
+        await self.wait_for(lambda: len(other.received) == 6)
+        self.assertEqual({"noord-0"}, {sender_id for sender_id, _ in other.received})
--- /dev/null
+++ b/packages/geraniumlead/tests/core_tests/forwarding/harness.py
@@ -0,0 +1,72 @@
+"""Drive one forwarder in virtual time, with a hand for every answer."""
+
+from random import Random
+
+from core_tests.forwarding.builders import build_request, build_settings
+from geraniumlead.forwarding import (
+    AttemptEnded,
+    AttemptResult,
+    CallerLeft,
+    CancelAttempt,
+    Forwarder,
+    ForwardingSettings,
+    LogDecision,
+    RequestArrived,
+    SendReply,
+    StartAttempt,
+    TimePassed,
+)
+from geraniumlead.peering.peer_letter import PeerLetter
+
+
+class ForwarderHarness:
+    """Hold a forwarder and sort its actions by kind."""
+
+    def __init__(self, settings: ForwardingSettings | None = None, seed: int = 1) -> None:
+        self.now_ms = 0.0
+        self.forwarder = Forwarder(settings or build_settings(), Random(seed), self.now_ms)
+        self.started: list[StartAttempt] = []
+        self.cancelled: list[int] = []
+        self.replies: dict[int, object] = {}
+        self.letters: list[PeerLetter] = []
+        self.logged: list[LogDecision] = []
+
+    def handle(self, event) -> list[StartAttempt]:
+        """Pass an event on; return the attempts that it started."""
+        return self.take(self.forwarder.handle(event, self.now_ms))
+
+    def take(self, actions: list) -> list[StartAttempt]:
+        started = []
+        for action in actions:
+            match action:
+                case StartAttempt():
+                    started.append(action)
+                case CancelAttempt(attempt_id=attempt_id):
+                    self.cancelled.append(attempt_id)
+                case SendReply(key=key, reply=reply):
+                    assert key not in self.replies, "a second reply"
+                    self.replies[key] = reply
+                case PeerLetter():
+                    self.letters.append(action)
+                case LogDecision():
+                    self.logged.append(action)
+        self.started += started
+        return started
+
+    def ask(self, key: int = 1, **changes) -> list[StartAttempt]:
+        return self.handle(RequestArrived(build_request(key, self.now_ms, **changes)))
+
+    def leave(self, key: int) -> None:
+        self.handle(CallerLeft(key))
+
+    def end(self, attempt: StartAttempt, result: AttemptResult) -> list[StartAttempt]:
+        return self.handle(AttemptEnded(attempt.attempt_id, result))
+
+    def run_until(self, until_ms: float) -> list[StartAttempt]:
+        """Let time pass, with every timer at its time."""
+        started = []
+        while (due_ms := self.forwarder.next_wake_ms()) <= until_ms:
+            self.now_ms = max(self.now_ms, due_ms)
+            started += self.handle(TimePassed())
+        self.now_ms = until_ms
+        return started
--- /dev/null
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_delegation.py
@@ -0,0 +1,159 @@
+"""Test shards that a peer beside their upstreams asks, between two forwarders."""
+
+from unittest import TestCase
+
+from core_tests.forwarding.builders import (
+    build_answer,
+    build_configuration,
+    build_fan_out,
+    build_news,
+    build_record,
+    build_settings,
+)
+from core_tests.forwarding.harness import ForwarderHarness
+from geraniumlead.forwarding import PeerHeard
+from geraniumlead.peering import (
+    DelegatedReply,
+    DelegatedRequest,
+    DelegationCancelled,
+    DelegationTaken,
+    decode_peering,
+    encode_peering,
+)
+
+HIGH = bytes([9]) * 16
+NEAR = "entry-noord-1"
+FAR = "entry-midden-1"
+
+
+class TwoInstances(TestCase):
+    """Hold an instance without upstreams of four shards in its region, and one beside them."""
+
+    def setUp(self):
+        self.near = ForwarderHarness(build_settings(NEAR, address="10.1.0.1:1"))
+        self.far = ForwarderHarness(
+            build_settings(FAR, address="10.2.0.1:1", data_centre="midden-a", seeds=("10.1.0.1:1",))
+        )
+        route = build_fan_out(shard_count=5)
+        shards = route.services()
+        records = [build_record("near", shards[0])]
+        records += [build_record(f"far.{name}", name, data_centre="midden-a") for name in shards]
+        self.news = build_news(build_configuration(route), *records)
+        for harness in (self.near, self.far):
+            harness.handle(self.news)
+        self.run_both_until(3_000.0)
+
+    def run_both_until(self, until_ms: float) -> None:
+        while self.near.now_ms < until_ms:
+            for harness in (self.near, self.far):
+                harness.run_until(harness.now_ms + 50.0)
+            self.deliver()
+
+    def deliver(self) -> None:
+        """Pass all letters on, through the codec."""
+        by_address = {"10.1.0.1:1": self.near, "10.2.0.1:1": self.far}
+        while self.near.letters or self.far.letters:
+            for sender_id, harness in ((NEAR, self.near), (FAR, self.far)):
+                letters, harness.letters = harness.letters, []
+                for letter in letters:
+                    message = decode_peering(encode_peering(letter.message))
+                    by_address[letter.address].handle(PeerHeard(sender_id, message))
+
+    def find_letters(self, harness: ForwarderHarness, kind: type) -> list:
+        return [letter for letter in harness.letters if isinstance(letter.message, kind)]
+
+    def test_far_shards_cost_one_message_and_all_parts_come_back(self):
+        (attempt,) = self.near.ask()
+        self.assertEqual("shard-0", attempt.upstream.service)
+        self.assertEqual(1, len(self.find_letters(self.near, DelegatedRequest)))
+        self.deliver()
+        self.assertEqual(4, len(self.far.started))
+        for started in self.far.started:
+            self.far.end(started, build_answer(HIGH, signature=started.upstream.service))
+        self.deliver()
+        self.near.end(attempt, build_answer(HIGH, signature="shard-0"))
+        reply = self.near.replies[1]
+        self.assertEqual({f"shard-{number}" for number in range(5)}, set(reply.signatures))
+        self.assertEqual(3 * HIGH, reply.records)
+        self.assertEqual(0, reply.missing)
+
+    def test_a_silent_peer_is_replaced_before_the_goal(self):
+        """The peer loses power, and nobody knows yet.
+
+        Its word that it took the request stays out; the shards are asked from here within a
+        tenth of a second, and later queries do not wait for it again.
+        """
+        self.near.ask()
+        started = self.near.run_until(self.near.now_ms + 150.0)
+        services = {attempt.upstream.service for attempt in started}
+        self.assertLessEqual({f"shard-{number}" for number in range(1, 5)}, services)
+        self.near.letters.clear()
+        self.assertEqual(5, len(self.near.ask(2)))
+
+    def test_a_peer_with_an_older_configuration_declines(self):
+        newer = build_configuration(build_fan_out(shard_count=5), version=2)
+        self.near.handle(build_news(newer, is_snapshot=False))
+        self.near.forwarder._peers.directory.peers[FAR].version = 2
+        self.near.ask()
+        self.deliver()
+        self.assertEqual([], self.far.started)
+        self.assertEqual(5, len(self.near.started))
+
+    def test_a_caller_that_leaves_ends_the_work_at_the_peer(self):
+        self.near.ask()
+        self.deliver()
+        self.near.leave(1)
+        self.assertEqual(1, len(self.find_letters(self.near, DelegationCancelled)))
+        self.deliver()
+        self.assertEqual(4, len(self.far.cancelled))
+
+    def test_what_the_peer_could_not_get_is_counted_as_missing(self):
+        (attempt,) = self.near.ask()
+        self.near.end(attempt, build_answer(HIGH, signature="shard-0"))
+        self.deliver()
+        for started in self.far.started[:3]:
+            self.far.end(started, build_answer(HIGH, signature=started.upstream.service))
+        self.run_both_until(self.near.now_ms + 350.0)
+        self.assertEqual(1, self.near.replies[1].missing)
+
+    def test_a_query_that_is_late_already_is_answered_with_enough(self):
+        """A caller repeats after its goal has passed.
+
+        With a goal in the past the peer would answer at once, with nothing in its hands.
+        """
+        self.near.ask(1, wait_ms=1_000.0)
+        self.deliver()
+        self.near.ask(2, wait_ms=400.0)
+        self.deliver()
+        taken = [self.far.started[index] for index in range(4, 8)]
+        self.assertEqual(8, len(self.far.started))
+        self.assertEqual([], self.find_letters(self.far, DelegatedReply))
+        for started in taken:
+            self.far.end(started, build_answer(HIGH, signature=started.upstream.service))
+        self.assertEqual(1, len(self.find_letters(self.far, DelegatedReply)))
+
+    def test_a_stopping_peer_gets_nothing(self):
+        self.far.take(self.far.forwarder.stop(self.far.now_ms))
+        self.deliver()
+        self.assertEqual(5, len(self.near.ask()))
+
+    def test_a_peer_that_hears_nothing_gets_nothing(self):
+        """Messages pass from the peer to here, but not back.
+
+        Its hellos show that it lives; without the echo each query would wait in vain.
+        """
+        for _ in range(6):
+            self.near.run_until(self.near.now_ms + 1_000.0)
+            self.near.letters.clear()
+            self.far.run_until(self.far.now_ms + 1_000.0)
+            letters, self.far.letters = self.far.letters, []
+            for letter in letters:
+                self.near.handle(PeerHeard(FAR, letter.message))
+        self.assertEqual(5, len(self.near.ask()))
+
+    def test_a_duplicate_word_or_reply_changes_nothing(self):
+        self.near.ask()
+        self.deliver()
+        self.near.handle(PeerHeard(FAR, DelegationTaken(1)))
+        self.near.handle(PeerHeard(FAR, DelegatedReply(99, True)))
+        self.assertEqual({}, self.near.replies)
--- /dev/null
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_fan_out.py
@@ -0,0 +1,132 @@
+"""Test requests that go to one upstream of every shard."""
+
+from unittest import TestCase
+
+from core_tests.forwarding.builders import (
+    build_answer,
+    build_configuration,
+    build_fan_out,
+    build_news,
+    build_record,
+)
+from core_tests.forwarding.harness import ForwarderHarness
+from geraniumlead.forwarding import MergedReply, NotReached, PossiblyExecuted
+
+LOW, MIDDLE, HIGH = (bytes([value]) * 16 for value in (1, 5, 9))
+
+
+class FanOutTests(TestCase):
+    def build(self, replicas: int = 2, **changes) -> ForwarderHarness:
+        harness = ForwarderHarness()
+        route = build_fan_out(**changes)
+        records = [
+            build_record(f"{shard}.{number}", shard)
+            for shard in route.services()
+            for number in range(replicas)
+        ]
+        harness.handle(build_news(build_configuration(route), *records))
+        return harness
+
+    def test_the_greatest_records_of_all_parts_come_first(self):
+        harness = self.build()
+        bodies = [LOW + HIGH, MIDDLE + b"rest", HIGH, LOW]
+        for attempt, body in zip(harness.ask(), bodies, strict=True):
+            harness.end(attempt, build_answer(body, signature=attempt.upstream.service))
+        reply = harness.replies[1]
+        self.assertEqual(HIGH + HIGH + MIDDLE, reply.records)
+        self.assertEqual(0, reply.missing)
+        self.assertEqual({"shard-0", "shard-1", "shard-2", "shard-3"}, set(reply.signatures))
+
+    def test_the_goal_ends_the_wait_when_enough_is_in(self):
+        """One shard hangs. With enough of the others the caller is served at its goal.
+
+        To wait for the last one would turn an answer in time into a late one.
+        """
+        harness = self.build(replicas=1)
+        for attempt in harness.ask()[:3]:
+            harness.end(attempt, build_answer(HIGH, signature=attempt.upstream.service))
+        harness.run_until(299.0)
+        reply = harness.replies[1]
+        self.assertIsInstance(reply, MergedReply)
+        self.assertEqual(1, reply.missing)
+        self.assertEqual(1, len(harness.cancelled))
+
+    def test_too_few_parts_are_waited_for_beyond_the_goal(self):
+        harness = self.build(replicas=1, least_share=0.75)
+        attempts = harness.ask()
+        for attempt in attempts[:2]:
+            harness.end(attempt, build_answer(HIGH, signature=attempt.upstream.service))
+        harness.run_until(500.0)
+        self.assertEqual({}, harness.replies)
+        harness.end(attempts[2], build_answer(HIGH, signature="third"))
+        self.assertEqual(1, harness.replies[1].missing)
+
+    def test_a_query_that_cannot_get_enough_ends_at_once(self):
+        harness = self.build(replicas=1, least_share=0.75)
+        first, second, *_ = harness.ask()
+        harness.end(first, PossiblyExecuted("reset"))
+        harness.end(second, PossiblyExecuted("reset"))
+        self.assertEqual(502, harness.replies[1].status)
+        self.assertEqual(2, len(harness.cancelled))
+
+    def test_shards_without_upstreams_refuse_the_query_before_anything_is_sent(self):
+        """Half of the shards have no upstream left.
+
+        Known at once, this is said at once, with a time to come back, and truly not run.
+        """
+        harness = ForwarderHarness()
+        route = build_fan_out(least_share=0.75)
+        records = [build_record("only", "shard-0")]
+        harness.handle(build_news(build_configuration(route), *records))
+        self.assertEqual([], harness.ask())
+        self.assertEqual(503, harness.replies[1].status)
+
+    def test_a_late_part_is_asked_for_again_and_the_loser_cancelled(self):
+        harness = self.build()
+        attempts = harness.ask()
+        for attempt in attempts[:3]:
+            harness.end(attempt, build_answer(HIGH, signature=attempt.upstream.service))
+        (second,) = harness.run_until(200.0)
+        self.assertEqual(attempts[3].upstream.service, second.upstream.service)
+        self.assertNotEqual(attempts[3].upstream.upstream_id, second.upstream.upstream_id)
+        harness.end(second, build_answer(LOW, signature="late"))
+        self.assertEqual(0, harness.replies[1].missing)
+        self.assertEqual([attempts[3].attempt_id], harness.cancelled)
+
+    def test_an_unreachable_upstream_costs_no_budget(self):
+        harness = self.build()
+        first = harness.ask()[0]
+        (second,) = harness.end(first, NotReached("refused"))
+        self.assertEqual(first.upstream.service, second.upstream.service)
+
+    def test_a_configuration_that_comes_meanwhile_does_not_mix_into_the_answer(self):
+        """The index is cut into other shards while a query runs.
+
+        Parts of both sets would be an answer that no version of the configuration names.
+        """
+        harness = self.build(replicas=1)
+        attempts = harness.ask()
+        newer = build_configuration(build_fan_out(shard_count=2), version=2)
+        harness.handle(build_news(newer, is_snapshot=False))
+        for attempt in attempts:
+            harness.end(attempt, build_answer(HIGH, signature=attempt.upstream.service))
+        self.assertEqual(4, len(harness.replies[1].signatures))
+
+
+class FanOutBudgetTests(TestCase):
+    def test_late_parts_of_many_queries_stay_within_the_budget(self):
+        """All upstreams turn slow at once, and every part of every query is late.
+
+        Repeated without a bound, the load on what is overloaded already would double.
+        """
+        harness = ForwarderHarness()
+        harness.forwarder._runner.set_instances(1)
+        route = build_fan_out(shard_count=1, least_share=1.0)
+        records = [build_record(f"only.{number}", "shard-0") for number in range(60)]
+        harness.handle(build_news(build_configuration(route), *records))
+        for key in range(1, 401):
+            harness.ask(key)
+            harness.run_until(harness.now_ms + 20.0)
+        arrivals = len(harness.started)
+        self.assertGreater(arrivals, 400)
+        self.assertLessEqual(arrivals - 400, 0.2 * 400 + 50)
--- /dev/null
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_single_requests.py
@@ -0,0 +1,175 @@
+"""Test requests that go to one upstream of one service."""
+
+from unittest import TestCase
+
+from core_tests.forwarding.builders import (
+    build_answer,
+    build_configuration,
+    build_news,
+    build_record,
+    build_request,
+    build_route,
+)
+from core_tests.forwarding.harness import ForwarderHarness
+from geraniumlead.forwarding import (
+    NotExecuted,
+    NotReached,
+    OwnReply,
+    PossiblyExecuted,
+    PublishedNews,
+    RelayedReply,
+    RequestArrived,
+)
+
+
+class SingleRequestTests(TestCase):
+    def build(self, **changes) -> ForwarderHarness:
+        harness = ForwarderHarness()
+        configuration = build_configuration(build_route(**changes))
+        records = [build_record(f"reader-{number}") for number in range(3)]
+        harness.handle(build_news(configuration, *records))
+        return harness
+
+    def test_an_answer_is_passed_on_as_it_is(self):
+        harness = self.build()
+        (attempt,) = harness.ask()
+        answer = build_answer(b"page", status=404)
+        harness.end(attempt, build_answer(b"page"))
+        self.assertEqual(RelayedReply(build_answer(b"page")), harness.replies[1])
+        self.assertNotEqual(answer, harness.replies[1].answer)
+
+    def test_without_a_configuration_nothing_is_said_about_routes(self):
+        """A process has just started and the store is slow.
+
+        With 404 its callers would believe that the route is gone, and not come back.
+        """
+        harness = ForwarderHarness()
+        harness.ask()
+        reply = harness.replies[1]
+        self.assertEqual(503, reply.status)
+        self.assertIsNotNone(reply.retry_after_ms)
+        self.assertFalse(harness.forwarder.is_ready)
+
+    def test_an_unknown_path_is_not_found(self):
+        harness = self.build()
+        harness.ask(path="/other/1")
+        self.assertEqual(OwnReply(404, "no_route"), harness.replies[1])
+
+    def test_a_request_that_must_not_be_repeated_is_sent_once_when_its_answer_is_lost(self):
+        """The upstream runs a booking, and its connection is reset before the answer.
+
+        A second try books twice. The caller gets 502, which says nothing about what ran;
+        503 would tell it to send the booking again.
+        """
+        harness = self.build(is_idempotent=False)
+        (attempt,) = harness.ask()
+        self.assertEqual([], harness.end(attempt, PossiblyExecuted("reset")))
+        self.assertEqual(502, harness.replies[1].status)
+
+    def test_a_request_that_must_not_be_repeated_goes_on_after_a_rejection(self):
+        harness = self.build(is_idempotent=False)
+        (first,) = harness.ask()
+        (second,) = harness.end(first, NotExecuted(503))
+        self.assertNotEqual(first.upstream.upstream_id, second.upstream.upstream_id)
+        harness.end(second, NotExecuted(503))
+        self.assertEqual(503, harness.replies[1].status)
+
+    def test_a_late_request_that_must_not_be_repeated_is_never_sent_again(self):
+        harness = self.build(is_idempotent=False)
+        harness.ask()
+        self.assertEqual([], harness.run_until(900.0))
+        harness.run_until(1_000.0)
+        self.assertEqual(504, harness.replies[1].status)
+
+    def test_a_lost_answer_of_an_idempotent_request_is_asked_for_again(self):
+        harness = self.build()
+        (first,) = harness.ask()
+        (second,) = harness.end(first, PossiblyExecuted("reset"))
+        self.assertNotEqual(first.upstream.upstream_id, second.upstream.upstream_id)
+        harness.end(second, build_answer())
+        self.assertIsInstance(harness.replies[1], RelayedReply)
+
+    def test_no_more_upstreams_than_allowed_may_run_a_request(self):
+        """Every upstream that runs a request crashes, and its caller sends it again.
+
+        Each retry takes one more upstream down, so the route's bound holds for failures too.
+        """
+        harness = self.build(most_upstreams=2)
+        (first,) = harness.ask()
+        (second,) = harness.end(first, PossiblyExecuted("reset"))
+        self.assertEqual([], harness.end(second, PossiblyExecuted("reset")))
+        self.assertEqual(502, harness.replies[1].status)
+
+    def test_an_upstream_without_connection_does_not_count(self):
+        harness = self.build(most_upstreams=1)
+        (first,) = harness.ask()
+        (second,) = harness.end(first, NotReached("refused"))
+        harness.end(second, build_answer())
+        self.assertIsInstance(harness.replies[1], RelayedReply)
+
+    def test_a_caller_that_leaves_ends_the_work(self):
+        harness = self.build()
+        (attempt,) = harness.ask()
+        harness.leave(1)
+        self.assertEqual([attempt.attempt_id], harness.cancelled)
+        self.assertEqual({}, harness.replies)
+
+    def test_time_that_is_left_shrinks_for_a_second_attempt(self):
+        harness = self.build()
+        (first,) = harness.ask()
+        harness.now_ms = 200.0
+        (second,) = harness.end(first, PossiblyExecuted("reset"))
+        self.assertAlmostEqual(first.time_left_ms - 200.0, second.time_left_ms)
+
+    def test_an_answer_that_comes_after_the_end_is_dropped(self):
+        harness = self.build()
+        (attempt,) = harness.ask()
+        harness.run_until(1_000.0)
+        status = harness.replies[1].status
+        harness.end(attempt, build_answer())
+        self.assertEqual(504, status)
+
+    def test_the_end_is_the_routes_timeout_when_that_is_sooner(self):
+        harness = self.build(timeout_ms=400.0)
+        harness.ask(wait_ms=5_000.0)
+        harness.run_until(400.0)
+        self.assertEqual(504, harness.replies[1].status)
+
+    def test_a_region_that_is_not_allowed_gets_nothing(self):
+        harness = ForwarderHarness()
+        route = build_route(allowed_regions=frozenset({"zuid"}))
+        near, far = build_record("near"), build_record("far", data_centre="zuid-a")
+        harness.handle(build_news(build_configuration(route), near, far))
+        (attempt,) = harness.ask()
+        self.assertEqual("far", attempt.upstream.upstream_id)
+        self.assertEqual([], harness.end(attempt, NotReached("refused")))
+        self.assertEqual(503, harness.replies[1].status)
+
+    def test_a_lower_version_never_replaces_a_higher_one(self):
+        """The store answers from an old copy after an outage.
+
+        Requests would be handled as only an older version allows, though a server had
+        already seen the newer one.
+        """
+        harness = self.build()
+        newer = build_configuration(build_route(prefix="/new/"), version=5)
+        harness.handle(build_news(newer, is_snapshot=False))
+        older = build_configuration(build_route(), version=4)
+        harness.handle(build_news(older, is_snapshot=False))
+        harness.ask()
+        self.assertEqual(404, harness.replies[1].status)
+
+    def test_a_stop_ends_what_is_open_without_a_false_promise(self):
+        harness = self.build()
+        harness.ask()
+        harness.take(harness.forwarder.stop(harness.now_ms))
+        self.assertFalse(harness.forwarder.is_ready)
+        harness.take(harness.forwarder.end_all(harness.now_ms))
+        self.assertEqual(502, harness.replies[1].status)
+
+    def test_an_empty_reading_of_the_store_leaves_nothing_to_serve(self):
+        harness = self.build()
+        harness.handle(PublishedNews((), is_snapshot=True))
+        harness.handle(RequestArrived(build_request(2)))
+        self.assertEqual(503, harness.replies[2].status)
+        self.assertFalse(harness.forwarder.is_ready)
