Learn the way to each data centre, and time second attempts by the way of the second

The least latency of each data centre now gives its way, and quantiles and estimates hold what is left after it. Ruled out: connections that had to be opened (kept ones live 10 s and are mostly there).

--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -12,9 +12,9 @@
 WATCH_MS = 1_000
 """How long a watch waits for a change; upstreams' heartbeats seldom let it."""
 
-PAUSE_PART = 8.0
-"""Parts of the shortest bound in which the store is asked once: a change is known after an
-eighth of the bound, and a lost answer or a slow store still leaves it kept."""
+PAUSE_PART = 4.0
+"""Parts of the shortest bound in which the store is asked once: a change is known after a
+quarter of the bound, and one lost answer still leaves it kept."""
 
 logger = logging.getLogger("geraniumlead")
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/attempt_book.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/attempt_book.py
@@ -4,6 +4,7 @@
 
 from geraniumlead.fleet import FleetView, UpstreamRecord
 from geraniumlead.forwarding.actions import CancelAttempt, ForwardingAction, StartAttempt
+from geraniumlead.forwarding.data_centre_ways import DataCentreWays
 from geraniumlead.forwarding.extra_budgets import ExtraBudgets
 from geraniumlead.forwarding.forwarding_settings import ForwardingSettings
 from geraniumlead.forwarding.late_clock import LateClock
@@ -21,7 +22,16 @@
 class AttemptBook:
     """Tie every attempt that is out to its leg, and learn from what becomes of it."""
 
-    __slots__ = ("_actions", "_attempts", "_fleet", "_next_id", "budgets", "chooser", "clock")
+    __slots__ = (
+        "_actions",
+        "_attempts",
+        "_fleet",
+        "_next_id",
+        "budgets",
+        "chooser",
+        "clock",
+        "ways",
+    )
 
     def __init__(
         self,
@@ -36,7 +46,8 @@
         self._next_id = 0
         self.budgets = ExtraBudgets(settings)
         self.clock = LateClock()
-        self.chooser = UpstreamChooser(settings, fleet, random)
+        self.ways = DataCentreWays(settings)
+        self.chooser = UpstreamChooser(settings, fleet, self.ways, random)
 
     def choose(self, leg: Leg, now_ms: float, only_good: bool = False) -> UpstreamRecord | None:
         """Return the upstream for the next attempt of a leg; None when there is none."""
@@ -53,7 +64,9 @@
         """Send a leg's request to an upstream."""
         opened = leg.request
         self._next_id += 1
-        attempt = Attempt(self._next_id, leg, upstream, now_ms)
+        way_ms = self.ways.way_ms(upstream.data_centre)
+        second_way_ms = self.chooser.second_way_ms(leg.service, upstream, way_ms)
+        attempt = Attempt(self._next_id, leg, upstream, now_ms, way_ms, second_way_ms)
         self._attempts[attempt.attempt_id] = attempt
         leg.open_attempts[attempt.attempt_id] = attempt
         leg.tried.add(upstream.upstream_id)
@@ -86,7 +99,7 @@
             self._actions.append(CancelAttempt(attempt.attempt_id))
             estimate = self.chooser.estimate_of(attempt.upstream.upstream_id)
             estimate.in_flight -= 1
-            elapsed_ms = now_ms - attempt.sent_ms
+            elapsed_ms = now_ms - attempt.sent_ms - attempt.way_ms
             route = leg.request.route
             usual_ms = self.clock.usual_ms(route, now_ms)
             estimate.note_at_least(elapsed_ms / usual_ms, now_ms)
@@ -113,9 +126,11 @@
         match result:
             case Completed(is_success=True):
                 latency_ms = now_ms - attempt.sent_ms
+                self.ways.note(attempt.upstream.data_centre, latency_ms, now_ms)
+                work_ms = max(0.0, latency_ms - attempt.way_ms)
                 usual_ms = self.clock.usual_ms(route, now_ms)
-                estimate.note_latency(latency_ms / usual_ms, now_ms)
-                self.clock.record(route, latency_ms, now_ms)
+                estimate.note_latency(work_ms / usual_ms, now_ms)
+                self.clock.record(route, work_ms, now_ms)
             case NotReached() | NotExecuted(is_other_upstream=True):
                 estimate.note_refused(now_ms)
             case Completed() | NotExecuted() | PossiblyExecuted():
--- a/packages/geraniumlead/src/geraniumlead/forwarding/late_clock.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/late_clock.py
@@ -1,6 +1,7 @@
 """Say when an attempt is late, and until when an answer is worth its full credit."""
 
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
+from geraniumlead.forwarding.open_request import Attempt
 from geraniumlead.routes import Route
 from geraniumlead.tail import StragglerClock
 
@@ -8,9 +9,10 @@
 """Answers after which quantiles are believed: an instance sees some twenty to sixty a second
 on a route over all shards."""
 
-LATE_SHARE = 0.06
-"""Share of the attempts that count as late: pauses hit about one in twenty-five, the rest is
-the tail of ordinary work."""
+LATE_SHARE = 0.05
+"""Share of the attempts that count as late, where the goal does not ask for more haste. Pauses
+hit about one in twenty-five; at a slightly larger share two in three second attempts lost to the
+first, and their bytes cost what they won."""
 
 SECOND_SHARE = 0.9
 """Share of the second attempts that should still make the goal: what is late is repeated so
@@ -32,7 +34,7 @@
 
 
 class LateClock:
-    """Learn the latencies of each route."""
+    """Learn what is left of the latencies on each route after the way."""
 
     __slots__ = ("_clock", "_longest_wait_ms")
 
@@ -45,26 +47,32 @@
         self._clock.record(route.name, latency_ms, now_ms)
 
     def usual_ms(self, route: Route, now_ms: float) -> float:
-        """Return the median latency of the route's attempts."""
+        """Return the median of the route's attempts, without the way."""
         found_ms = self._clock.delay_ms(route.name, 0.5, now_ms)
         return found_ms or UNKNOWN_USUAL_GOAL_SHARE * route.latency_goal_ms
 
-    def late_ms(self, route: Route, goal_left_ms: float, now_ms: float, has_plenty: bool) -> float:
+    def late_ms(
+        self, attempt: Attempt, goal_left_ms: float, now_ms: float, has_plenty: bool
+    ) -> float:
         """Return after which time an attempt is late that had ``goal_left_ms`` to the goal.
 
         With a short budget the second attempt waits for its last chance: most of what is a
         little late is ordinary work and still comes.
         """
+        route = attempt.leg.request.route
         found_ms = self._clock.delay_ms(route.name, LATE_SHARE, now_ms)
         second_share = SECOND_SHARE if has_plenty else LAST_CHANCE_SHARE
         second_ms = self._clock.delay_ms(route.name, 1.0 - second_share, now_ms)
         if found_ms is None or second_ms is None:
             return UNKNOWN_LATE_GOAL_SHARE * route.latency_goal_ms
-        latest_ms = goal_left_ms - second_ms
+        late_ms = attempt.way_ms + found_ms
+        latest_ms = goal_left_ms - attempt.second_way_ms - second_ms
         if latest_ms <= 0.0:
-            return found_ms
-        late_ms = min(found_ms, latest_ms) if has_plenty else latest_ms
-        return max(late_ms, LEAST_LATE_FACTOR * self.usual_ms(route, now_ms))
+            return late_ms
+        if not has_plenty:
+            return max(late_ms, latest_ms)
+        least_ms = attempt.way_ms + LEAST_LATE_FACTOR * self.usual_ms(route, now_ms)
+        return max(min(late_ms, latest_ms), least_ms)
 
     def goal_ms(self, route: Route, request: ForwardedRequest) -> float:
         """Return until when an answer earns its full credit, on the monotonic clock.
--- a/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
@@ -13,12 +13,17 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One request that is out at an upstream."""
+    """One request that is out at an upstream.
+
+    ``way_ms`` is the time of its way there and back, ``second_way_ms`` that of the next best.
+    """
 
     attempt_id: int
     leg: "Leg"
     upstream: UpstreamRecord
     sent_ms: float
+    way_ms: float
+    second_way_ms: float
     is_overdue: bool = False
 
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -255,6 +255,9 @@
                 opened.is_fan_out or opened.route.is_idempotent
             ):
                 leg.may_have_run = True
+                if len(leg.tried) > 1:
+                    what = f"answered after {now_ms - attempt.sent_ms:.0f} ms"
+                    opened.note(leg, upstream_id, what, now_ms)
                 opened.settle_answered(leg, result)
                 self._book.cancel(leg, now_ms)
                 return
@@ -328,10 +331,9 @@
                 self._book.send_again(leg, upstream, "late", now_ms)
 
     def _late_ms(self, attempt: Attempt, now_ms: float) -> float:
-        opened = attempt.leg.request
         has_plenty = self._book.budgets.has_plenty(attempt.leg.service, now_ms)
-        goal_left_ms = opened.goal_ms - attempt.sent_ms
-        return self._book.clock.late_ms(opened.route, goal_left_ms, now_ms, has_plenty)
+        goal_left_ms = attempt.leg.request.goal_ms - attempt.sent_ms
+        return self._book.clock.late_ms(attempt, goal_left_ms, now_ms, has_plenty)
 
     def _arm(self, opened: OpenRequest, now_ms: float) -> None:
         """Set the next time at which the request is looked after."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/upstream_chooser.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/upstream_chooser.py
@@ -4,13 +4,14 @@
 from random import Random
 
 from geraniumlead.fleet import FleetView, UpstreamRecord
+from geraniumlead.forwarding.data_centre_ways import DataCentreWays
 from geraniumlead.forwarding.forwarding_settings import ForwardingSettings
 from geraniumlead.forwarding.upstream_estimate import UpstreamEstimate
 from geraniumlead.routes import Route, UpstreamService
 
 REGION_HANDICAP_MS = 30.0
-"""What an answer from another region has to be sooner by. Bytes between regions cost as much
-as all other means together, and the way there and back takes 16 to 40 ms."""
+"""What an answer from another region has to be sooner by, besides its way: the bytes between
+regions cost callers' money, and near upstreams are spared for near callers."""
 
 FAILURE_COST_MS = 250.0
 """What a failed attempt costs: about the goal of a query over all shards."""
@@ -32,10 +33,17 @@
     A choice by turns sends half of all calls to the slow one.
     """
 
-    __slots__ = ("_estimates", "_fleet", "_instances", "_random", "_settings")
+    __slots__ = ("_estimates", "_fleet", "_instances", "_random", "_settings", "_ways")
 
-    def __init__(self, settings: ForwardingSettings, fleet: FleetView, random: Random) -> None:
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        fleet: FleetView,
+        ways: DataCentreWays,
+        random: Random,
+    ) -> None:
         self._settings = settings
+        self._ways = ways
         self._fleet = fleet
         self._random = random
         self._instances = 1
@@ -70,6 +78,15 @@
             for record in self._fleet.usable(service)
         )
 
+    def second_way_ms(self, service: str, first: UpstreamRecord, first_way_ms: float) -> float:
+        """Return the way to the nearest of the other upstreams of a service."""
+        ways = [
+            self._ways.way_ms(record.data_centre)
+            for record in self._fleet.usable(service)
+            if record.upstream_id != first.upstream_id
+        ]
+        return min(ways, default=first_way_ms)
+
     def choose(
         self,
         route: Route,
@@ -110,6 +127,7 @@
             expected_ms *= COLD_FACTOR
         expected_ms += FAILURE_COST_MS * estimate.failure_share_at(now_ms)
         expected_ms *= 1.0 + JITTER_SHARE * self._random.random()
+        expected_ms += self._ways.way_ms(record.data_centre)
         if self._settings.regions.get(record.data_centre) != self._settings.region:
             expected_ms += REGION_HANDICAP_MS
         return expected_ms
