Refuse requests that crash upstreams; split the runner

A request that three upstreams were lost with, and none answered, is refused for a minute, and peers are told: each further try would take an upstream from everybody else. One answer clears it, so whoever was there in a power loss is not blamed; a query over all shards that loses several at once still asks the others. A split route without weights ended the process with an index error (found by reading): tested.

--- a/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/attempt_client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/attempt_client.py
@@ -77,7 +77,7 @@
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             return NotReached(type(error).__name__)
         except (ClientError, OSError, ValueError) as error:
-            return PossiblyExecuted(type(error).__name__)
+            return PossiblyExecuted(type(error).__name__, is_connection_lost=True)
 
     def _client(self) -> ClientSession:
         if self._session is None:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/closing.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/closing.py
@@ -22,10 +22,11 @@
         case FanOut():
             pass
         case _:
-            leg = opened.legs[0]
-            found = leg.answer or leg.failed_answer
-            if found is not None:
-                return RelayedReply(found)
+            # A split route without any weight has no leg.
+            for leg in opened.legs:
+                found = leg.answer or leg.failed_answer
+                if found is not None:
+                    return RelayedReply(found)
     if not opened.may_have_run:
         return OwnReply(UNAVAILABLE, reason, retry_after_ms)
     status = GATEWAY_TIMEOUT if reason == "timeout" else BAD_GATEWAY
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from xxhash import xxh3_64_intdigest
+
 
 @dataclass(slots=True)
 class ForwardedRequest:
@@ -29,6 +31,12 @@
     goal_left_ms: float | None = None
     shards: tuple[str, ...] = ()
 
+    @property
+    def fingerprint(self) -> int:
+        """Return a hash that repeats of the request share, whoever sends them."""
+        text = f"{self.method} {self.host} {self.target}\n".encode()
+        return xxh3_64_intdigest(text + self.body)
+
     @property
     def is_delegated(self) -> bool:
         """Return whether a peer passed it here."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/late_clock.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/late_clock.py
@@ -33,6 +33,13 @@
 better half of the goal left."""
 
 
+REPLY_MARGIN_MS = 7.0
+"""Left of the goal for this instance's own work: the loop is seldom busy for longer."""
+
+END_MARGIN_MS = 20.0
+"""Left of the caller's wait, so that the answer arrives before it gives up."""
+
+
 class LateClock:
     """Learn what is left of the latencies on each route after the way."""
 
@@ -74,14 +81,21 @@
         least_ms = attempt.way_ms + LEAST_LATE_FACTOR * self.usual_ms(route, now_ms)
         return max(min(late_ms, latest_ms), least_ms)
 
-    def goal_ms(self, route: Route, request: ForwardedRequest) -> float:
-        """Return until when an answer earns its full credit, on the monotonic clock.
+    def times_of(self, request: ForwardedRequest, route: Route) -> tuple[float, float]:
+        """Return when the reply should leave for its full credit, and when all is over."""
+        wait_ms = min(request.wait_ms or route.timeout_ms, route.timeout_ms)
+        if request.goal_left_ms is not None:
+            # The peer that passed it here has taken its margins from both.
+            return request.arrived_ms + request.goal_left_ms, request.arrived_ms + wait_ms
+        end_ms = request.arrived_ms + max(0.0, wait_ms - END_MARGIN_MS)
+        return self._goal_ms(route, request) - request.way_ms - REPLY_MARGIN_MS, end_ms
+
+    def _goal_ms(self, route: Route, request: ForwardedRequest) -> float:
+        """Return until when the caller should have its answer, on the monotonic clock.
 
         The goal counts from the caller's first try. A repeat says only how long it still
         waits; what it has waited is the difference to the longest wait seen on the route.
         """
-        if request.goal_left_ms is not None:
-            return request.arrived_ms + request.goal_left_ms
         wait_ms = request.wait_ms
         if wait_ms is None:
             return request.arrived_ms + route.latency_goal_ms
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/leg_sender.py
@@ -0,0 +1,187 @@
+"""Send the parts of requests, and send again what failed or is late."""
+
+from geraniumlead.fleet import UpstreamRecord
+from geraniumlead.forwarding.attempt_book import AttemptBook
+from geraniumlead.forwarding.crash_book import CrashBook
+from geraniumlead.forwarding.open_request import Attempt, Leg, OpenRequest
+from geraniumlead.forwarding.results import (
+    AttemptResult,
+    Completed,
+    NotExecuted,
+    NotReached,
+    PossiblyExecuted,
+)
+from geraniumlead.forwarding.waiting_legs import WaitingLegs
+
+DECLINED = "declined"
+NEVER_MS = float("inf")
+
+
+class LegSender:
+    """Decide for each part of a request whether, when and where it is sent (again).
+
+    A part that may have run is sent again only if its route allows repeats, and every second
+    sending but those that reached nobody costs the budget of the service.
+    """
+
+    __slots__ = ("_book", "_crashes", "_waiting")
+
+    def __init__(self, book: AttemptBook, crashes: CrashBook) -> None:
+        self._book = book
+        self._crashes = crashes
+        self._waiting = WaitingLegs()
+
+    def choose_all(self, opened: OpenRequest, now_ms: float) -> list[tuple[Leg, UpstreamRecord]]:
+        """Choose upstreams; parts without a place wait, those without any upstream fail."""
+        chosen: list[tuple[Leg, UpstreamRecord]] = []
+        for leg in opened.legs:
+            self._book.budgets.note_first(leg.service, now_ms)
+            upstream = None
+            if not self._waiting.has(leg.service):
+                upstream = self._book.choose(leg, now_ms)
+            if upstream is not None:
+                chosen.append((leg, upstream))
+            elif not (self._book.could_wait(leg) and self._waiting.add(leg)):
+                opened.settle_failed(leg, "no_upstream", now_ms)
+        return chosen
+
+    def send_waiting(self, service: str, now_ms: float) -> list[OpenRequest]:
+        """Use the places that have become free at a service; return whose parts were sent."""
+        sent: list[OpenRequest] = []
+        while (leg := self._waiting.take(service)) is not None:
+            upstream = self._book.choose(leg, now_ms)
+            if upstream is None:
+                self._waiting.add(leg)
+                break
+            leg.request.note(leg, upstream.upstream_id, "waited for a place", now_ms)
+            self._book.send(leg, upstream, now_ms)
+            sent.append(leg.request)
+        return sent
+
+    def ask_again(self, opened: OpenRequest, legs: list[Leg], why: str, now_ms: float) -> None:
+        """Ask shards from here that a peer did not bring."""
+        for leg in legs:
+            is_too_late = opened.has_enough and now_ms >= opened.goal_ms
+            upstream = None if is_too_late else self._book.choose(leg, now_ms)
+            if upstream is None:
+                opened.settle_failed(leg, f"{why}, no upstream", now_ms)
+            elif why == DECLINED:
+                self._book.send(leg, upstream, now_ms)
+            elif self._book.budgets.may_repeat_failed(leg.service, now_ms):
+                # The peer may have asked already, and only its word is late or lost.
+                self._book.send_again(leg, upstream, why, now_ms)
+            else:
+                opened.settle_failed(leg, f"{why}, no budget", now_ms)
+
+    def take_result(self, attempt: Attempt, result: AttemptResult, now_ms: float) -> None:
+        """Settle a part by the end of an attempt, or send it again."""
+        leg = attempt.leg
+        opened = leg.request
+        upstream_id = attempt.upstream.upstream_id
+        match result:
+            case Completed() if result.is_success or not (
+                opened.is_fan_out or opened.route.is_idempotent
+            ):
+                leg.may_have_run = True
+                if self._crashes:
+                    self._crashes.note_answered(opened.request.fingerprint)
+                if len(leg.tried) > 1:
+                    what = f"answered after {now_ms - attempt.sent_ms:.0f} ms"
+                    opened.note(leg, upstream_id, what, now_ms)
+                opened.settle_answered(leg, result)
+                self._book.cancel(leg, now_ms)
+                return
+            case Completed(status=status):
+                leg.may_have_run = True
+                leg.failed_answer = result
+                why = f"status {status}"
+            case NotExecuted(status=status):
+                why = f"not executed {status}"
+            case NotReached(detail=detail):
+                # Nothing arrived there, so neither bound counts it.
+                leg.sent_count -= 1
+                why = f"not reached: {detail}"
+            case PossiblyExecuted(detail=detail, is_connection_lost=is_lost):
+                leg.may_have_run = True
+                if is_lost and not opened.answered:
+                    fingerprint = opened.request.fingerprint
+                    self._crashes.note_lost(fingerprint, upstream_id, now_ms)
+                why = f"lost: {detail}"
+        opened.note(leg, upstream_id, why, now_ms)
+        self._follow_failure(leg, result, why, now_ms)
+
+    def repeat_late(self, opened: OpenRequest, now_ms: float) -> None:
+        """Send again the parts whose only attempt is late."""
+        for leg in opened.legs:
+            if leg.is_settled or len(leg.open_attempts) != 1:
+                continue
+            (attempt,) = leg.open_attempts.values()
+            if now_ms < attempt.sent_ms + self._late_ms(attempt, now_ms):
+                continue
+            if not attempt.is_overdue:
+                self._book.note_overdue(attempt, now_ms)
+            if not self._book.budgets.may_repeat_late(leg.service, now_ms):
+                continue
+            upstream = self._book.choose(leg, now_ms, only_good=True)
+            if upstream is not None:
+                self._book.send_again(leg, upstream, "late", now_ms)
+
+    def next_late_ms(self, opened: OpenRequest, now_ms: float) -> float:
+        """Return when the next attempt of a request is late."""
+        due_ms = NEVER_MS
+        for leg in opened.legs:
+            if leg.is_settled or len(leg.open_attempts) != 1:
+                continue
+            (attempt,) = leg.open_attempts.values()
+            late_ms = attempt.sent_ms + self._late_ms(attempt, now_ms)
+            if late_ms > now_ms:
+                due_ms = min(due_ms, late_ms)
+        return due_ms
+
+    def cancel(self, opened: OpenRequest, now_ms: float) -> list[str]:
+        """Stop all work for a request; return the services where places became free."""
+        freed = [leg.service for leg in opened.legs if leg.open_attempts]
+        for leg in opened.legs:
+            self._waiting.drop(leg)
+        self._book.cancel_all(opened, now_ms)
+        return freed
+
+    def _follow_failure(self, leg: Leg, result: AttemptResult, why: str, now_ms: float) -> None:
+        """Send a failed leg again where that is allowed; else settle it."""
+        if leg.open_attempts:
+            return
+        opened = leg.request
+        is_repeatable = opened.route.is_idempotent or not leg.may_have_run
+        if not opened.is_fan_out and self._is_crashing(opened, now_ms):
+            # A query over all shards may lose several at once to a loss of power, and asks
+            # the others; whether it is at fault shows when none has answered.
+            is_repeatable = False
+        if is_repeatable and now_ms < opened.end_ms:
+            is_free = isinstance(result, NotReached)
+            if is_free or self._book.budgets.may_repeat_failed(leg.service, now_ms):
+                upstream = self._book.choose(leg, now_ms)
+                if upstream is not None:
+                    self._resend(leg, upstream, why, is_free, now_ms)
+                    return
+                why = f"{why}, no other upstream"
+            else:
+                why = f"{why}, no budget"
+        opened.settle_failed(leg, why, now_ms)
+
+    def _resend(
+        self, leg: Leg, upstream: UpstreamRecord, why: str, is_free: bool, now_ms: float
+    ) -> None:
+        if is_free:
+            self._book.send(leg, upstream, now_ms)
+        else:
+            self._book.send_again(leg, upstream, why, now_ms)
+
+    def _is_crashing(self, opened: OpenRequest, now_ms: float) -> bool:
+        if not self._crashes:
+            return False
+        return self._crashes.is_refused(opened.request.fingerprint, now_ms)
+
+    def _late_ms(self, attempt: Attempt, now_ms: float) -> float:
+        has_plenty = self._book.budgets.has_plenty(attempt.leg.service, now_ms)
+        goal_left_ms = attempt.leg.request.goal_ms - attempt.sent_ms
+        return self._book.clock.late_ms(attempt, goal_left_ms, now_ms, has_plenty)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
@@ -89,7 +89,8 @@
     @property
     def is_hopeless(self) -> bool:
         """Return whether too many legs failed."""
-        return len(self.legs) - (self.settled - self.answered) < self.least_answers
+        possible = len(self.legs) - (self.settled - self.answered)
+        return possible < self.least_answers
 
     @property
     def first_failure(self) -> str:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
@@ -5,6 +5,7 @@
 from geraniumlead.forwarding.published_state import PublishedState
 from geraniumlead.forwarding.request_runner import RequestRunner
 from geraniumlead.peering import (
+    CrashNotice,
     DelegatedReply,
     DelegatedRequest,
     DelegationCancelled,
@@ -16,6 +17,10 @@
 )
 from geraniumlead.peering.peer_letter import PeerLetter
 
+MOST_TOLD = 40
+"""Peers that are told of a crash: all of today's. In larger fleets each of them tells others
+when the request comes again there, so it is stopped after one more crash at most."""
+
 
 class PeerDesk:
     """Keep in touch with peers, and serve what they ask for."""
@@ -52,6 +57,8 @@
                 delegation = self._runner.delegations.take(number)
                 if delegation is not None:
                     self._runner.take_delegated(delegation, message, now_ms)
+            case CrashNotice(fingerprint=fingerprint, upstream_ids=upstream_ids):
+                self._runner.crashes.hear(fingerprint, upstream_ids, now_ms)
             case DelegationCancelled(number=number):
                 key = self._runner.desk.take_key(sender_id, number)
                 if key is not None:
@@ -67,6 +74,11 @@
             fields = {"peer": peer_id, "request_id": request_id}
             self._actions.append(LogDecision("peer_silent", fields, "warning"))
             self._runner.take_back(delegation, "peer silent", now_ms)
+        for fingerprint, upstream_ids in self._runner.crashes.take_told().items():
+            notice = CrashNotice(fingerprint, upstream_ids)
+            for peer in self.directory.live(now_ms)[:MOST_TOLD]:
+                contact = peer.contact
+                self._actions.append(PeerLetter(contact.instance_id, contact.address, notice))
         count = self.directory.count(now_ms)
         if count != self._count:
             self._count = count
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -6,41 +6,31 @@
 from geraniumlead.fleet import FleetView, UpstreamRecord
 from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, PeerReply, SendReply
 from geraniumlead.forwarding.attempt_book import AttemptBook
-from geraniumlead.forwarding.closing import decide_reply
+from geraniumlead.forwarding.closing import UNAVAILABLE, decide_reply
+from geraniumlead.forwarding.crash_book import QUARANTINE_MS, CrashBook
 from geraniumlead.forwarding.delegate_desk import DelegateDesk
 from geraniumlead.forwarding.delegations import Delegation, Delegations
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
-from geraniumlead.forwarding.open_request import Attempt, Leg, OpenRequest
+from geraniumlead.forwarding.leg_sender import DECLINED, LegSender
+from geraniumlead.forwarding.open_request import Leg, OpenRequest
+from geraniumlead.forwarding.replies import OwnReply
 from geraniumlead.forwarding.request_line import describe_request
+from geraniumlead.forwarding.request_services import RequestServices
 from geraniumlead.forwarding.results import (
     AttemptResult,
     Completed,
-    NotExecuted,
-    NotReached,
-    PossiblyExecuted,
 )
 from geraniumlead.forwarding.retry_after import RetryAfter
-from geraniumlead.forwarding.waiting_legs import LONGEST_WAIT_GOAL_SHARE, WaitingLegs
+from geraniumlead.forwarding.waiting_legs import LONGEST_WAIT_GOAL_SHARE
 from geraniumlead.peering import DelegatedReply, PeerDirectory
 from geraniumlead.routes import (
-    FanOut,
-    OneService,
     PublishedConfiguration,
     Route,
-    SplitChooser,
-    SplitServices,
 )
 from geraniumlead.settings.forwarding_settings import ForwardingSettings
 
-REPLY_MARGIN_MS = 7.0
-"""Left of the goal for this instance's own work: the loop is seldom busy for longer."""
-
-END_MARGIN_MS = 20.0
-"""Left of the caller's wait, so that the answer arrives before it gives up."""
-
 NEVER_MS = float("inf")
 OK = 200
-DECLINED = "declined"
 
 
 class RequestRunner:
@@ -54,12 +44,12 @@
     __slots__ = (
         "_actions",
         "_book",
+        "_legs",
         "_open",
-        "_random",
         "_retry_after",
-        "_splits",
-        "_waiting",
+        "_services",
         "_wakes",
+        "crashes",
         "delegations",
         "desk",
     )
@@ -73,16 +63,16 @@
         actions: list[ForwardingAction],
         directory: PeerDirectory,
     ) -> None:
-        self._random = random
         self.delegations = Delegations(settings, fleet, directory, random)
         self.desk = DelegateDesk()
         self._retry_after = retry_after
         self._actions = actions
         self._book = AttemptBook(settings, fleet, random, actions)
+        self.crashes = CrashBook()
+        self._legs = LegSender(self._book, self.crashes)
         self._open: dict[int, OpenRequest] = {}
         self._wakes: list[tuple[float, int]] = []
-        self._splits: dict[str, SplitChooser] = {}
-        self._waiting = WaitingLegs()
+        self._services = RequestServices(random)
 
     def __len__(self) -> int:
         """Return the number of open requests."""
@@ -111,29 +101,38 @@
         now_ms: float,
     ) -> None:
         """Send a request to one upstream of each of its services."""
-        goal_ms, end_ms = self.times_of(request, route)
+        if not request.is_delegated and self._is_crashing(request, now_ms):
+            self._refuse_crashing(request, route)
+            return
+        goal_ms, end_ms = self._book.clock.times_of(request, route)
         opened = OpenRequest(request, route, configuration, goal_ms, end_ms)
-        opened.legs = [Leg(opened, service) for service in self._services_of(request, route)]
+        opened.legs = [
+            Leg(opened, service) for service in self._services.of_request(request, route)
+        ]
         self._open[request.key] = opened
-        chosen = self._choose_all(opened, now_ms)
+        chosen = self._legs.choose_all(opened, now_ms)
         if opened.is_hopeless:
             # Known before anything is sent, so this refusal is true and early.
             self._finish(opened, "no_upstream", now_ms)
             return
         for leg, upstream in self._delegate(opened, chosen, now_ms):
             self._book.send(leg, upstream, now_ms)
-        if not self._finish_if_done(opened, now_ms):
-            self._arm(opened, now_ms)
-
-    def times_of(self, request: ForwardedRequest, route: Route) -> tuple[float, float]:
-        """Return when the reply should leave, and when all is over."""
-        wait_ms = min(request.wait_ms or route.timeout_ms, route.timeout_ms)
-        goal_ms = self._book.clock.goal_ms(route, request)
-        if request.goal_left_ms is not None:
-            # The peer that passed it here has taken its margins from both.
-            return goal_ms, request.arrived_ms + wait_ms
-        end_ms = request.arrived_ms + max(0.0, wait_ms - END_MARGIN_MS)
-        return goal_ms - request.way_ms - REPLY_MARGIN_MS, end_ms
+        self._go_on(opened, now_ms)
+
+    def _is_crashing(self, request: ForwardedRequest, now_ms: float) -> bool:
+        return bool(self.crashes) and self.crashes.is_refused(request.fingerprint, now_ms)
+
+    def _refuse_crashing(self, request: ForwardedRequest, route: Route) -> None:
+        reply = OwnReply(UNAVAILABLE, "crashes_upstreams", QUARANTINE_MS)
+        self._actions.append(SendReply(request.key, reply))
+        fields = {
+            "request_id": request.request_id,
+            "route": route.name,
+            "status": reply.status,
+            "reason": reply.reason,
+            "fingerprint": f"{request.fingerprint:016x}",
+        }
+        self._actions.append(LogDecision("request", fields, "warning"))
 
     def take_delegated(self, delegation: Delegation, reply: DelegatedReply, now_ms: float) -> None:
         """Take in what a peer brought for the shards that it was asked to ask."""
@@ -150,11 +149,13 @@
                 opened.settle_answered(leg, Completed(OK, (), records, signature))
                 records = b""
         missing = [leg for leg in delegation.legs if not leg.is_settled]
-        self._ask_again(opened, missing, "missing at the peer", now_ms)
+        self._legs.ask_again(opened, missing, "missing at the peer", now_ms)
+        self._go_on(opened, now_ms)
 
     def take_back(self, delegation: Delegation, why: str, now_ms: float) -> None:
         """Ask the shards from here that a peer did not take."""
-        self._ask_again(delegation.opened, delegation.legs, why, now_ms)
+        self._legs.ask_again(delegation.opened, delegation.legs, why, now_ms)
+        self._go_on(delegation.opened, now_ms)
 
     def finish_attempt(self, attempt_id: int, result: AttemptResult, now_ms: float) -> None:
         """Take in the end of an attempt; one that nobody waits for is dropped."""
@@ -163,8 +164,8 @@
             return
         leg = attempt.leg
         if not leg.is_settled:
-            self._take_result(attempt, result, now_ms)
-        self._finish_if_done(leg.request, now_ms)
+            self._legs.take_result(attempt, result, now_ms)
+        self._go_on(leg.request, now_ms)
         self._send_waiting(leg.service, now_ms)
 
     def drop(self, key: int, now_ms: float) -> None:
@@ -192,46 +193,13 @@
         for opened in list(self._open.values()):
             self._finish(opened, "stopping", now_ms)
 
-    def _ask_again(self, opened: OpenRequest, legs: list[Leg], why: str, now_ms: float) -> None:
-        """Ask shards from here that a peer did not bring."""
-        for leg in legs:
-            is_too_late = opened.has_enough and now_ms >= opened.goal_ms
-            upstream = None if is_too_late else self._book.choose(leg, now_ms)
-            if upstream is None:
-                opened.settle_failed(leg, f"{why}, no upstream", now_ms)
-            elif why == DECLINED:
-                self._book.send(leg, upstream, now_ms)
-            elif self._book.budgets.may_repeat_failed(leg.service, now_ms):
-                # The peer may have asked already, and only its word is late or lost.
-                self._book.send_again(leg, upstream, why, now_ms)
-            else:
-                opened.settle_failed(leg, f"{why}, no budget", now_ms)
+    def _go_on(self, opened: OpenRequest, now_ms: float) -> None:
+        """End a request if that is due, else set the time of its next look."""
         if not self._finish_if_done(opened, now_ms):
             self._arm(opened, now_ms)
 
-    def _choose_all(self, opened: OpenRequest, now_ms: float) -> list[tuple[Leg, UpstreamRecord]]:
-        chosen: list[tuple[Leg, UpstreamRecord]] = []
-        for leg in opened.legs:
-            self._book.budgets.note_first(leg.service, now_ms)
-            upstream = None
-            if not self._waiting.has(leg.service):
-                upstream = self._book.choose(leg, now_ms)
-            if upstream is not None:
-                chosen.append((leg, upstream))
-            elif not (self._book.could_wait(leg) and self._waiting.add(leg)):
-                opened.settle_failed(leg, "no_upstream", now_ms)
-        return chosen
-
     def _send_waiting(self, service: str, now_ms: float) -> None:
-        """Use the places that have become free at a service."""
-        while (leg := self._waiting.take(service)) is not None:
-            upstream = self._book.choose(leg, now_ms)
-            if upstream is None:
-                self._waiting.add(leg)
-                return
-            opened = leg.request
-            opened.note(leg, upstream.upstream_id, "waited for a place", now_ms)
-            self._book.send(leg, upstream, now_ms)
+        for opened in self._legs.send_waiting(service, now_ms):
             self._arm(opened, now_ms)
 
     def _delegate(
@@ -250,78 +218,6 @@
         self._actions.append(self.delegations.start(opened, far, peer, now_ms))
         return [(leg, upstream) for leg, upstream in chosen if not leg.may_have_run]
 
-    def _services_of(self, request: ForwardedRequest, route: Route) -> tuple[str, ...]:
-        if request.is_delegated:
-            return request.shards
-        match route.target:
-            case OneService(service=service):
-                return (service,)
-            case SplitServices() as target:
-                chooser = self._splits.get(route.name)
-                if chooser is None:
-                    chooser = self._splits[route.name] = SplitChooser(self._random)
-                return (chooser.choose(target),)
-            case FanOut(shards=shards):
-                return shards
-
-    def _take_result(self, attempt: Attempt, result: AttemptResult, now_ms: float) -> None:
-        leg = attempt.leg
-        opened = leg.request
-        upstream_id = attempt.upstream.upstream_id
-        match result:
-            case Completed() if result.is_success or not (
-                opened.is_fan_out or opened.route.is_idempotent
-            ):
-                leg.may_have_run = True
-                if len(leg.tried) > 1:
-                    what = f"answered after {now_ms - attempt.sent_ms:.0f} ms"
-                    opened.note(leg, upstream_id, what, now_ms)
-                opened.settle_answered(leg, result)
-                self._book.cancel(leg, now_ms)
-                return
-            case Completed(status=status):
-                leg.may_have_run = True
-                leg.failed_answer = result
-                why = f"status {status}"
-            case NotExecuted(status=status):
-                why = f"not executed {status}"
-            case NotReached(detail=detail):
-                # Nothing arrived there, so neither bound counts it.
-                leg.sent_count -= 1
-                why = f"not reached: {detail}"
-            case PossiblyExecuted(detail=detail):
-                leg.may_have_run = True
-                why = f"lost: {detail}"
-        opened.note(leg, upstream_id, why, now_ms)
-        self._follow_failure(leg, result, why, now_ms)
-
-    def _follow_failure(self, leg: Leg, result: AttemptResult, why: str, now_ms: float) -> None:
-        """Send a failed leg again where that is allowed; else settle it."""
-        if leg.open_attempts:
-            return
-        opened = leg.request
-        is_repeatable = opened.route.is_idempotent or not leg.may_have_run
-        if is_repeatable and now_ms < opened.end_ms:
-            is_free = isinstance(result, NotReached)
-            if is_free or self._book.budgets.may_repeat_failed(leg.service, now_ms):
-                upstream = self._book.choose(leg, now_ms)
-                if upstream is not None:
-                    self._resend(leg, upstream, why, is_free, now_ms)
-                    return
-                why = f"{why}, no other upstream"
-            else:
-                why = f"{why}, no budget"
-        opened.settle_failed(leg, why, now_ms)
-
-    def _resend(
-        self, leg: Leg, upstream: UpstreamRecord, why: str, is_free: bool, now_ms: float
-    ) -> None:
-        if is_free:
-            self._book.send(leg, upstream, now_ms)
-        else:
-            self._book.send_again(leg, upstream, why, now_ms)
-        self._arm(leg.request, now_ms)
-
     def _check(self, opened: OpenRequest, now_ms: float) -> None:
         """End a request whose time is over, and repeat what is late."""
         if now_ms >= opened.end_ms:
@@ -333,29 +229,9 @@
             self._finish(opened, "no_place", now_ms)
             return
         if opened.route.is_idempotent:
-            self._repeat_late(opened, now_ms)
+            self._legs.repeat_late(opened, now_ms)
         self._arm(opened, now_ms)
 
-    def _repeat_late(self, opened: OpenRequest, now_ms: float) -> None:
-        for leg in opened.legs:
-            if leg.is_settled or len(leg.open_attempts) != 1:
-                continue
-            (attempt,) = leg.open_attempts.values()
-            if now_ms < attempt.sent_ms + self._late_ms(attempt, now_ms):
-                continue
-            if not attempt.is_overdue:
-                self._book.note_overdue(attempt, now_ms)
-            if not self._book.budgets.may_repeat_late(leg.service, now_ms):
-                continue
-            upstream = self._book.choose(leg, now_ms, only_good=True)
-            if upstream is not None:
-                self._book.send_again(leg, upstream, "late", now_ms)
-
-    def _late_ms(self, attempt: Attempt, now_ms: float) -> float:
-        has_plenty = self._book.budgets.has_plenty(attempt.leg.service, now_ms)
-        goal_left_ms = attempt.leg.request.goal_ms - attempt.sent_ms
-        return self._book.clock.late_ms(attempt, goal_left_ms, now_ms, has_plenty)
-
     def _wait_end_ms(self, opened: OpenRequest) -> float:
         """Return when a request of which nothing was sent yet is refused."""
         if opened.may_have_run or opened.delegation is not None:
@@ -373,13 +249,7 @@
         if opened.is_fan_out and opened.goal_ms > now_ms:
             due_ms = min(due_ms, opened.goal_ms)
         if opened.route.is_idempotent:
-            for leg in opened.legs:
-                if leg.is_settled or len(leg.open_attempts) != 1:
-                    continue
-                (attempt,) = leg.open_attempts.values()
-                late_ms = attempt.sent_ms + self._late_ms(attempt, now_ms)
-                if late_ms > now_ms:
-                    due_ms = min(due_ms, late_ms)
+            due_ms = min(due_ms, self._legs.next_late_ms(opened, now_ms))
         if due_ms != opened.check_ms:
             opened.check_ms = due_ms
             heappush(self._wakes, (due_ms, opened.request.key))
@@ -408,16 +278,14 @@
             self._actions.append(PeerReply(sender_id, message))
             self._log(opened, f"for {sender_id}", None, now_ms)
             return
+        if self.crashes and not opened.answered:
+            self.crashes.note_ended(opened.request.fingerprint)
         reply = decide_reply(opened, reason, self._retry_after.draw())
         self._actions.append(SendReply(opened.request.key, reply))
         self._log(opened, reason, reply, now_ms)
 
     def _cancel_all(self, opened: OpenRequest, now_ms: float) -> None:
-        freed = [leg.service for leg in opened.legs if leg.open_attempts]
-        for leg in opened.legs:
-            self._waiting.drop(leg)
-        self._book.cancel_all(opened, now_ms)
-        for service in freed:
+        for service in self._legs.cancel(opened, now_ms):
             self._send_waiting(service, now_ms)
         letter = self.delegations.cancel(opened)
         if letter is not None:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/results.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/results.py
@@ -39,6 +39,8 @@
     """Something was sent and no whole answer came back: it may have run."""
 
     detail: str
+    is_connection_lost: bool = False
+    """The upstream may have crashed."""
 
 
 AttemptResult = Completed | NotExecuted | NotReached | PossiblyExecuted
--- a/packages/geraniumlead/src/geraniumlead/peering/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/__init__.py
@@ -3,6 +3,7 @@
 from geraniumlead.peering.directory import PeerDirectory
 from geraniumlead.peering.known_peer import KnownPeer
 from geraniumlead.peering.messages import (
+    CrashNotice,
     DelegatedReply,
     DelegatedRequest,
     DelegationCancelled,
@@ -16,6 +17,7 @@
 )
 
 __all__ = [
+    "CrashNotice",
     "DelegatedReply",
     "DelegatedRequest",
     "DelegationCancelled",
--- a/packages/geraniumlead/src/geraniumlead/peering/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -84,6 +84,13 @@
     number: int
 
 
+class CrashNotice(Struct, frozen=True, array_like=True, tag="crashes"):
+    """Say that upstreams were lost while they ran a request that none has answered."""
+
+    fingerprint: int
+    upstream_ids: tuple[str, ...]
+
+
 PeeringMessage = (
     Hello | Farewell | DelegatedRequest | DelegationTaken | DelegatedReply | DelegationCancelled
 )
--- /dev/null
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_crash_book.py
@@ -0,0 +1,84 @@
+"""Test requests that crash their upstreams."""
+
+from unittest import TestCase
+
+from core_tests.forwarding.builders import (
+    build_answer,
+    build_configuration,
+    build_fan_out,
+    build_news,
+    build_record,
+    build_route,
+)
+from core_tests.forwarding.harness import ForwarderHarness
+from geraniumlead.forwarding import PeerHeard, PossiblyExecuted
+from geraniumlead.forwarding.crash_book import QUARANTINE_MS, STRIKES
+from geraniumlead.peering import CrashNotice
+
+LOST = PossiblyExecuted("reset", is_connection_lost=True)
+
+
+class CrashingRequestTests(TestCase):
+    def setUp(self):
+        self.harness = ForwarderHarness()
+        configuration = build_configuration(build_route(), build_fan_out(prefix="/all/"))
+        shards = [f"shard-{number}" for number in range(4)]
+        records = [build_record(f"reader-{number}") for number in range(9)]
+        records += [build_record(f"{name}.{number}", name) for name in shards for number in (0, 1)]
+        self.harness.handle(build_news(configuration, *records))
+
+    def crash(self, key: int) -> int:
+        """Send the same request once more; return how many upstreams it took down."""
+        started = self.harness.ask(key)
+        count = 0
+        while started:
+            count += 1
+            started += self.harness.end(started.pop(0), LOST)
+        return count
+
+    def test_a_request_that_crashed_three_upstreams_is_sent_no_more(self):
+        """Its caller sends it again and again, each time under a new id.
+
+        Each try would take one or two more upstreams away from everybody else for seconds.
+        """
+        crashed = sum(self.crash(key) for key in range(1, 10))
+        self.assertEqual(STRIKES, crashed)
+        reply = self.harness.replies[9]
+        self.assertEqual((503, QUARANTINE_MS), (reply.status, reply.retry_after_ms))
+
+    def test_other_requests_go_on(self):
+        for key in range(1, 4):
+            self.crash(key)
+        self.assertEqual(1, len(self.harness.ask(9, target="/pages/2", path="/pages/2")))
+
+    def test_an_answer_clears_a_victim_of_others(self):
+        self.crash(1)
+        (attempt,) = self.harness.ask(2)
+        self.harness.end(attempt, build_answer())
+        self.crash(3)
+        self.assertEqual(1, len(self.harness.ask(4)))
+
+    def test_queries_that_lose_some_shards_in_a_power_loss_are_no_suspects(self):
+        """Half of all upstreams lose power, and every query in flight loses several shards.
+
+        The other shards answer, so the queries are cleared; callers' most frequent queries
+        are not refused for a minute because of what happened to the upstreams.
+        """
+        attempts = self.harness.ask(1, path="/all/1", target="/all/1")
+        for attempt in attempts[:3]:
+            self.assertEqual(1, len(self.harness.end(attempt, LOST)))
+        self.harness.end(attempts[3], build_answer(b"x" * 16))
+        self.assertEqual(4, len(self.harness.ask(2, path="/all/1", target="/all/1")))
+
+    def test_strikes_of_peers_count_too(self):
+        fingerprint = self.harness.ask(1)[0].request.fingerprint
+        notice = CrashNotice(fingerprint, ("reader-1", "reader-2", "reader-3"))
+        self.harness.handle(PeerHeard("entry-2", notice))
+        self.assertEqual([], self.harness.ask(2))
+
+    def test_one_more_try_after_the_time_is_over(self):
+        for key in range(1, 4):
+            self.crash(key)
+        self.harness.run_until(QUARANTINE_MS + 1_000.0)
+        self.assertEqual(1, self.crash(10))
+        self.assertEqual(0, self.crash(11))
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_single_requests.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_single_requests.py
@@ -20,6 +20,7 @@
     RelayedReply,
     RequestArrived,
 )
+from geraniumlead.routes import SplitServices
 
 
 class SingleRequestTests(TestCase):
@@ -167,6 +168,13 @@
         harness.take(harness.forwarder.end_all(harness.now_ms))
         self.assertEqual(502, harness.replies[1].status)
 
+    def test_a_split_route_without_any_weight_refuses(self):
+        harness = ForwarderHarness()
+        route = build_route(SplitServices((("reader", 0.0),)))
+        harness.handle(build_news(build_configuration(route), build_record("one")))
+        harness.ask()
+        self.assertEqual(503, harness.replies[1].status)
+
     def test_an_empty_reading_of_the_store_leaves_nothing_to_serve(self):
         harness = self.build()
         harness.handle(PublishedNews((), is_snapshot=True))
