--- a/packages/geraniumlead-server/tests/server_tests/forwarding/platform_process.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/platform_process.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from aiohttp import ClientError, ClientSession
-from msgspec.json import encode
+from msgspec.json import decode, encode
 
 from geraniumlead_standins.forwarding import StubStore, StubUpstream
 from server_tests.ports import find_free_port
@@ -45,21 +45,41 @@
 
     async def start_daemon(self) -> None:
         """Start the daemon and wait until it is ready."""
-        settings = Path(self._folder.name) / "settings.json"
-        settings.write_bytes(encode(self.build_settings()))
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "geraniumlead_server.main",
-            "--platform",
-            "--settings",
-            str(settings),
-            stdout=asyncio.subprocess.DEVNULL,
-        )
+        self.write_settings()
+        with self.log_path.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "geraniumlead_server.main",
+                "--platform",
+                "--settings",
+                str(self.settings_path),
+                stdout=log,
+            )
         async with asyncio.timeout(LONGEST_WAIT_S):
             while await self.ready_status() != 200:
                 await asyncio.sleep(0.05)
 
+    @property
+    def settings_path(self) -> Path:
+        """Return the settings file of the daemon."""
+        return Path(self._folder.name) / "settings.json"
+
+    @property
+    def log_path(self) -> Path:
+        """Return the file that takes the daemon's log."""
+        return Path(self._folder.name) / "log"
+
+    def write_settings(self, **changes) -> None:
+        """Write the settings file; ``changes`` are of the bounds."""
+        settings = self.build_settings()
+        settings["bounds"] |= changes
+        self.settings_path.write_bytes(encode(settings))
+
+    def read_log(self) -> list[dict]:
+        """Return the lines that the daemon has logged."""
+        return [decode(line) for line in self.log_path.read_bytes().splitlines()]
+
     def build_settings(self) -> dict:
         return {
             "instance_id": "entry-noord-1",
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_platform_process.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_platform_process.py
@@ -123,3 +123,28 @@
         await self.platform.start_daemon()
         status, _, _ = await self.platform.ask("/search/x")
         self.assertEqual(200, status)
+
+    async def test_settings_are_taken_over_with_and_without_a_signal(self):
+        async def reloads(count: int) -> bool:
+            events = [line["event"] for line in self.platform.read_log()]
+            return events.count("settings_reloaded") == count
+
+        self.platform.write_settings(extra_share=0.1)
+        await self.wait_until(lambda: reloads(1))
+        self.platform.write_settings(extra_share=0.15)
+        self.platform.process.send_signal(signal.SIGHUP)
+        await self.wait_until(lambda: reloads(2))
+        self.platform.settings_path.write_bytes(b"{")
+        self.platform.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        status, _, _ = await self.platform.ask("/pages/1")
+        self.assertEqual(200, status)
+        self.assertIn("settings_refused", [line["event"] for line in self.platform.read_log()])
+
+    async def test_a_failed_request_is_found_in_the_log_by_its_id(self):
+        for upstream in self.platform.pages:
+            upstream.fault = UpstreamFault.RESET
+        await self.platform.ask("/book/1", "POST", data=b"x", headers={"Request-Id": "r-lost"})
+        (line,) = [line for line in self.platform.read_log() if line.get("request_id") == "r-lost"]
+        self.assertEqual(("book", 502, 1), (line["route"], line["status"], line["version"]))
+        self.assertIn("lost", line["steps"][0]["what"])
