Count a part that a peer asks once: both instances earned second sendings by it

The sender counted the shards that it passed on, and so did the peer. Test fails before, passes after.

--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -16,6 +16,10 @@
 """Parts of the shortest bound in which the store is asked once: a change is known after a
 quarter of the bound, and one lost answer still leaves it kept."""
 
+FIRST_READ_PAUSE_S = 0.5
+"""Longest pause between tries before the first reading: until then callers are refused, and
+after an outage that ends while all instances start, each tenth of a second counts."""
+
 logger = logging.getLogger("geraniumlead")
 
 
@@ -43,6 +47,7 @@
         """Follow the store until cancelled."""
         backoff = Backoff(self._random)
         revision: int | None = None
+        has_read = False
         while True:
             try:
                 if revision is None:
@@ -57,7 +62,9 @@
                 continue
             except StoreError as error:
                 self._report(StoreLost(str(error)))
-                await asyncio.sleep(backoff.next_pause_s())
+                pause_s = backoff.next_pause_s()
+                await asyncio.sleep(pause_s if has_read else min(FIRST_READ_PAUSE_S, pause_s))
                 continue
+            has_read = True
             backoff.reset()
             await asyncio.sleep(self._pause_s * (0.9 + 0.2 * self._random.random()))
--- a/packages/geraniumlead/src/geraniumlead/forwarding/leg_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/leg_sender.py
@@ -35,7 +35,6 @@
         """Choose upstreams; parts without a place wait, those without any upstream fail."""
         chosen: list[tuple[Leg, UpstreamRecord]] = []
         for leg in opened.legs:
-            self._book.budgets.note_first(leg.service, now_ms)
             upstream = None
             if not self._waiting.has(leg.service):
                 upstream = self._book.choose(leg, now_ms)
@@ -45,6 +44,16 @@
                 opened.settle_failed(leg, "no_upstream", now_ms)
         return chosen
 
+    def note_first(self, opened: OpenRequest, now_ms: float) -> None:
+        """Count the parts that are this instance's to send.
+
+        Failure: a part that a peer asks was counted here and there. Both earned second
+        sendings by it, and together they exceeded the bound of the service.
+        """
+        for leg in opened.legs:
+            if not leg.is_delegated:
+                self._book.budgets.note_first(leg.service, now_ms)
+
     def send_waiting(self, service: str, now_ms: float) -> list[OpenRequest]:
         """Use the places that have become free at a service; return whose parts were sent."""
         sent: list[OpenRequest] = []
@@ -66,6 +75,7 @@
             if upstream is None:
                 opened.settle_failed(leg, f"{why}, no upstream", now_ms)
             elif why == DECLINED:
+                self._book.budgets.note_first(leg.service, now_ms)
                 self._book.send(leg, upstream, now_ms)
             elif self._book.budgets.may_repeat_failed(leg.service, now_ms):
                 # The peer may have asked already, and only its word is late or lost.
--- a/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
@@ -38,6 +38,7 @@
     sent_count: int = 0
     may_have_run: bool = False
     is_waiting: bool = False
+    is_delegated: bool = False
     answer: Completed | None = None
     failure: str | None = None
     failed_answer: Completed | None = None
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -112,10 +112,13 @@
         self._open[request.key] = opened
         chosen = self._legs.choose_all(opened, now_ms)
         if opened.is_hopeless:
+            self._legs.note_first(opened, now_ms)
             # Known before anything is sent, so this refusal is true and early.
             self._finish(opened, "no_upstream", now_ms)
             return
-        for leg, upstream in self._delegate(opened, chosen, now_ms):
+        chosen = self._delegate(opened, chosen, now_ms)
+        self._legs.note_first(opened, now_ms)
+        for leg, upstream in chosen:
             self._book.send(leg, upstream, now_ms)
         self._go_on(opened, now_ms)
 
@@ -215,8 +218,9 @@
             return chosen
         for leg in far:
             leg.may_have_run = True
+            leg.is_delegated = True
         self._actions.append(self.delegations.start(opened, far, peer, now_ms))
-        return [(leg, upstream) for leg, upstream in chosen if not leg.may_have_run]
+        return [(leg, upstream) for leg, upstream in chosen if not leg.is_delegated]
 
     def _check(self, opened: OpenRequest, now_ms: float) -> None:
         """End a request whose time is over, and repeat what is late."""
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_delegation.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_delegation.py
@@ -77,6 +77,19 @@
         self.assertEqual(3 * HIGH, reply.records)
         self.assertEqual(0, reply.missing)
 
+    def test_a_part_earns_second_sendings_once_in_the_whole_fleet(self):
+        """A peer asks the shards of an instance, and both keep a budget of second sendings.
+
+        Counted at both, each shard earned twice, and when upstreams turned slow the service
+        got more than its bound of repeated requests.
+        """
+        self.near.ask()
+        self.deliver()
+        budgets = [harness.forwarder._runner._book.budgets for harness in (self.near, self.far)]
+        for number in range(5):
+            firsts = [found._of(f"shard-{number}")._first for found in budgets]
+            self.assertEqual(1, sum(firsts), number)
+
     def test_a_silent_peer_is_replaced_before_the_goal(self):
         """The peer loses power, and nobody knows yet.
 
