--- a/packages/geraniumlead/src/geraniumlead/forwarding/attempt_book.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/attempt_book.py
@@ -60,12 +60,12 @@
             opened.route, service, leg.tried, usual_ms, now_ms, only_good=only_good
         )
 
-    def could_wait(self, leg: Leg) -> bool:
+    def could_wait(self, leg: Leg, now_ms: float) -> bool:
         """Return whether a leg only lacks a place at an upstream."""
         opened = leg.request
         if leg.service not in opened.configuration.services:
             return False
-        return self.chooser.has_untried(opened.route, leg.service, leg.tried)
+        return self.chooser.has_untried(opened.route, leg.service, leg.tried, now_ms)
 
     def send(self, leg: Leg, upstream: UpstreamRecord, now_ms: float) -> None:
         """Send a leg's request to an upstream."""
@@ -138,7 +138,9 @@
                 usual_ms = self.clock.usual_ms(route, now_ms)
                 estimate.note_latency(work_ms / usual_ms, now_ms)
                 self.clock.record(route, work_ms, now_ms)
-            case NotReached() | NotExecuted(is_other_upstream=True):
+            case NotExecuted(is_other_upstream=True):
+                estimate.note_gone(now_ms)
+            case NotReached():
                 estimate.note_refused(now_ms)
             case Completed() | NotExecuted() | PossiblyExecuted():
                 estimate.note_failure(now_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/leg_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/leg_sender.py
@@ -40,7 +40,7 @@
                 upstream = self._book.choose(leg, now_ms)
             if upstream is not None:
                 chosen.append((leg, upstream))
-            elif not (self._book.could_wait(leg) and self._waiting.add(leg)):
+            elif not (self._book.could_wait(leg, now_ms) and self._waiting.add(leg)):
                 opened.settle_failed(leg, "no_upstream", now_ms)
         return chosen
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/upstream_chooser.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/upstream_chooser.py
@@ -89,10 +89,14 @@
         ]
         return min(ways, default=first_way_ms)
 
-    def has_untried(self, route: Route, service: str, tried: Collection[str]) -> bool:
+    def has_untried(
+        self, route: Route, service: str, tried: Collection[str], now_ms: float
+    ) -> bool:
         """Return whether any upstream may be sent to, now or when it has a place."""
         return any(
-            record.upstream_id not in tried and self._is_allowed(route, record)
+            record.upstream_id not in tried
+            and self._is_allowed(route, record)
+            and now_ms >= self.estimate_of(record.upstream_id).gone_until_ms
             for record in self._fleet.usable(service)
         )
 
@@ -115,7 +119,7 @@
             estimate = self.estimate_of(record.upstream_id)
             if record.upstream_id in tried or estimate.in_flight >= most:
                 continue
-            if not self._is_allowed(route, record):
+            if now_ms < estimate.gone_until_ms or not self._is_allowed(route, record):
                 continue
             is_avoided = now_ms < estimate.avoid_until_ms
             if is_avoided and only_good:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/upstream_estimate.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/upstream_estimate.py
@@ -25,6 +25,11 @@
 without power costs a query a second attempt, and slow phases and starts last some seconds."""
 
 
+GONE_MS = 10_000.0
+"""Time for which an upstream is left out whose address another one answers at. Its entry lapses
+within four seconds, later only while the store is away; a new life begins with a new entry."""
+
+
 @dataclass(slots=True)
 class UpstreamEstimate:
     """Hold the in-band signals of one upstream.
@@ -40,6 +45,7 @@
     failure_ms: float = 0.0
     avoid_until_ms: float = float("-inf")
     troubles_in_row: int = 0
+    gone_until_ms: float = float("-inf")
 
     def slowness_at(self, now_ms: float) -> float:
         """Return the slowness, which falls back to 1 while nothing is seen."""
@@ -80,6 +86,15 @@
         self._note_failure_share(1.0, now_ms)
         self._avoid(REFUSED_MS, now_ms)
 
+    def note_gone(self, now_ms: float) -> None:
+        """Leave out an upstream whose address belongs to another one now.
+
+        Failure: an upstream ends and its address is given away while its entry still stands.
+        Whatever is sent there is rejected, and counts as a needless request at the service
+        of the new owner, which may be another shard of the same query.
+        """
+        self.gone_until_ms = now_ms + GONE_MS
+
     def _avoid(self, first_ms: float, now_ms: float) -> None:
         """Pass it over, twice as long for each trouble in a row.
 
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_upstream_chooser.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_upstream_chooser.py
@@ -69,6 +69,19 @@
         self.assertIsNone(self.choose(100.0, tried=("sound",), only_good=True))
         self.assertEqual("paused", self.choose(100.0, tried=("sound",)))
 
+    def test_an_address_that_was_given_away_gets_nothing_more(self):
+        """An upstream is gone, its entry stands, and another one answers at its address.
+
+        Each further request there is rejected, and is one too many at the new owner's
+        service; so it is left out even where nothing else is there.
+        """
+        self.add("gone")
+        self.chooser.estimate_of("gone").note_gone(0.0)
+        self.assertIsNone(self.choose(100.0))
+        self.assertFalse(self.chooser.has_untried(build_route(), "reader", (), 100.0))
+        self.chooser.forget("gone")
+        self.assertEqual("gone", self.choose(100.0))
+
     def test_an_upstream_that_sheds_loses_its_load(self):
         self.add("sheds", "sound")
         for _ in range(2):
@@ -78,7 +91,7 @@
     def test_no_more_calls_at_once_than_this_instances_connections(self):
         self.add("only")
         self.chooser.estimate_of("only").in_flight = 26 // 7
-        self.assertTrue(self.chooser.has_untried(build_route(), "reader", ()))
+        self.assertTrue(self.chooser.has_untried(build_route(), "reader", (), 0.0))
         self.assertIsNone(self.choose())
 
     def test_a_draining_or_evacuated_upstream_gets_nothing(self):
