--- a/packages/geraniumlead-server/tests/server_tests/logs/test_queued_output.py
+++ b/packages/geraniumlead-server/tests/server_tests/logs/test_queued_output.py
@@ -58,6 +58,12 @@
 
 
 class DecisionLogTests(TestCase):
+    def setUp(self):
+        # The runner of the whole suite turns logging off; here the lines are the subject.
+        before = logging.root.manager.disable
+        logging.disable(logging.NOTSET)
+        self.addCleanup(logging.disable, before)
+
     def test_failed_requests_are_logged_when_ordinary_ones_no_longer_are(self):
         log = DecisionLog(lines_per_s=10.0)
         ordinary = LogDecision("request", {"request_id": "good"})
