--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/app.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/app.py
@@ -5,11 +5,9 @@
 from geraniumlead_server.forwarding_driver import ForwardingDriver
 from geraniumlead_server.forwarding_front.balancer_question import BalancerQuestion
 from geraniumlead_server.forwarding_front.forwarding_sink import ForwardingSink
+from geraniumlead_server.forwarding_front.scope_keys import RECEIVE
 from geraniumlead_server.platform import BALANCER_QUESTION
 
-RECEIVE = "geraniumlead.receive"
-"""Where the scope holds the server's own channel, by which a caller's close is seen."""
-
 
 class ReceivingApp:
     """Let the application see when a caller closes its connection."""
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/forwarding_sink.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/forwarding_sink.py
@@ -5,7 +5,7 @@
 from geraniumlead.forwarding import ForwardedRequest, MergedReply, OwnReply, RelayedReply, Reply
 from geraniumlead_server.forwarding_driver import ForwardingDriver
 from geraniumlead_server.forwarding_front.caller_way import UNKNOWN_ROUND_TRIP_MS
-from geraniumlead_server.forwarding_front.limited_protocol import WAY_MS
+from geraniumlead_server.forwarding_front.scope_keys import RECEIVE, WAY_MS
 from geraniumlead_server.platform import BadRequest, read_request, reply_headers
 
 BODY_TOO_LARGE = 413
@@ -31,7 +31,7 @@
         if isinstance(asked, BadRequest):
             _refuse(response, asked)
             return
-        reply = await self._ask(asked, request.scope["geraniumlead.receive"])
+        reply = await self._ask(asked, request.scope[RECEIVE])
         if reply is not None:
             self._render(response, asked, reply)
 
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/limited_protocol.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/limited_protocol.py
@@ -5,13 +5,11 @@
 from geraniumlead.routes import RequestLimits
 from geraniumlead_server.bounded_protocol import BoundedProtocol
 from geraniumlead_server.forwarding_front.caller_way import measure_round_trip_ms
+from geraniumlead_server.forwarding_front.scope_keys import WAY_MS
 
 IDLE_MARGIN_S = 2.0
 """Longer than callers were told, so that no request meets a connection that closes."""
 
-WAY_MS = "geraniumlead.way_ms"
-"""Where the scope holds the time that the request's way has taken and the reply's will take."""
-
 
 def protocol_with_limits(limits: Callable[[], RequestLimits]) -> type[BoundedProtocol]:
     """Return a protocol class whose limits are those in force when they are needed."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/attempt_book.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/attempt_book.py
@@ -25,7 +25,6 @@
     __slots__ = (
         "_actions",
         "_attempts",
-        "_fleet",
         "_next_id",
         "budgets",
         "chooser",
@@ -41,7 +40,6 @@
         actions: list[ForwardingAction],
     ) -> None:
         self._actions = actions
-        self._fleet = fleet
         self._attempts: dict[int, Attempt] = {}
         self._next_id = 0
         self.budgets = ExtraBudgets(settings)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
@@ -4,6 +4,7 @@
 
 from geraniumlead.fleet import FleetView
 from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, SendReply
+from geraniumlead.forwarding.closing import UNAVAILABLE
 from geraniumlead.forwarding.events import (
     AttemptEnded,
     CallerLeft,
@@ -25,7 +26,6 @@
 
 INCARNATION_BITS = 48
 NOT_FOUND = 404
-UNAVAILABLE = 503
 
 
 class Forwarder:
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -43,8 +43,8 @@
 starts later than others is known to all within seconds, for some 150 bytes a hello."""
 
 BEAT_PEERS = 40
-"""Peers that one beat goes to: all of them at today's sizes, and 6 KB/s at any size. In larger
-fleets the beats go round, and silence is judged by the length of a round."""
+"""Peers that one beat goes to: all of them at today's sizes. In larger fleets the beats go
+round, and silence is judged by the length of a round."""
 
 
 class PeerDirectory:
--- a/packages/geraniumlead/src/geraniumlead/settings/forwarding_settings.py
+++ b/packages/geraniumlead/src/geraniumlead/settings/forwarding_settings.py
@@ -21,9 +21,6 @@
     extra_share: float = 0.1
     extra_slack: float = 0.0
     extra_window_ms: float = 10_000.0
-    cold_rate_factor: float = 1.0
-    cold_rate_slack: float = 0.0
-    drain_ms: float = 4_000.0
 
     @property
     def region(self) -> str | None:
--- a/packages/geraniumlead/src/geraniumlead/settings/platform_settings.py
+++ b/packages/geraniumlead/src/geraniumlead/settings/platform_settings.py
@@ -35,8 +35,6 @@
     extra_share: Share
     extra_slack: Annotated[float, Meta(ge=0)]
     extra_window_s: Annotated[float, Meta(gt=0, le=600)]
-    cold_rate_factor: Annotated[float, Meta(ge=0)] = 1.0
-    cold_rate_slack: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class PlatformSettings(Struct, frozen=True, kw_only=True):
@@ -75,7 +73,4 @@
             extra_share=bounds.extra_share,
             extra_slack=bounds.extra_slack,
             extra_window_ms=bounds.extra_window_s * 1000.0,
-            cold_rate_factor=bounds.cold_rate_factor,
-            cold_rate_slack=bounds.cold_rate_slack,
-            drain_ms=bounds.drain_ms,
         )
