Serve callers without a framework, and load less before a start serves

Cause: after a loss of power or a kill of all processes callers wait for the first instance that listens; half a second to a second of it is loading modules. Ruled out: skipping the interpreter's site module, which would gain only where a machine's site-packages are slow; aiohttp and uvicorn, which stay.

--- a/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/attempt_client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/client.py
@@ -15,12 +15,12 @@
     PossiblyExecuted,
     StartAttempt,
 )
-from geraniumlead_server.platform import REQUEST_ID_HEADER, attempt_headers, read_answer
-from geraniumlead_server.upstream_client.attempt_connections import (
+from geraniumlead_server.forwarding_client.connections import (
     IDLE_S,
     AttemptConnector,
     AttemptRequest,
 )
+from geraniumlead_server.platform import REQUEST_ID_HEADER, attempt_headers, read_answer
 
 CONNECT_TIMEOUT_S = 0.5
 """The longest way between regions and back takes 40 ms, a busy upstream some 10 ms more; an
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/__init__.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/__init__.py
@@ -1,6 +1,12 @@
-"""Take opaque requests over HTTP."""
+"""Take callers' opaque requests, and the balancer's question, as plain ASGI applications.
 
-from geraniumlead_server.forwarding_front.app import build_forwarding_app, build_ready_app
+Nothing here routes, negotiates or parses bodies, which is what a web framework is for: paths
+belong to operators and bodies to upstreams. falcon serves the pages of metrics, loaded later;
+here it would take a tenth of a second of each start (docs/measurements/startup.md).
+"""
+
+from geraniumlead_server.forwarding_front.balancer_question import BalancerQuestion
+from geraniumlead_server.forwarding_front.forwarding_app import ForwardingApp
 from geraniumlead_server.forwarding_front.limited_protocol import protocol_with_limits
 
-__all__ = ["build_forwarding_app", "build_ready_app", "protocol_with_limits"]
+__all__ = ["BalancerQuestion", "ForwardingApp", "protocol_with_limits"]
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/balancer_question.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/balancer_question.py
@@ -1,8 +1,13 @@
-"""Tell the balancer whether to send callers here."""
-
-import falcon
+"""Tell the platform's balancer whether to send callers here."""
 
 from geraniumlead_server.forwarding_driver import ForwardingDriver
+from geraniumlead_server.forwarding_front.asgi_reply import Send, send_reply
+from geraniumlead_server.platform import BALANCER_QUESTION
+
+OK = 200
+NOT_FOUND = 404
+UNAVAILABLE = 503
+JSON_HEADERS = (("Content-Type", "application/json"),)
 
 
 class BalancerQuestion:
@@ -11,8 +16,11 @@
     def __init__(self, driver: ForwardingDriver) -> None:
         self._driver = driver
 
-    async def on_get(self, request, response) -> None:
-        """Report readiness."""
-        is_ready = self._driver.forwarder.is_ready
-        response.status = falcon.HTTP_200 if is_ready else falcon.HTTP_503
-        response.media = {"ready": is_ready}
+    async def __call__(self, scope: dict, receive, send: Send) -> None:
+        """Answer one request."""
+        if scope["path"] != BALANCER_QUESTION:
+            await send_reply(send, NOT_FOUND, (), b"")
+        elif self._driver.forwarder.is_ready:
+            await send_reply(send, OK, JSON_HEADERS, b'{"ready":true}')
+        else:
+            await send_reply(send, UNAVAILABLE, JSON_HEADERS, b'{"ready":false}')
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -7,8 +7,6 @@
 from pathlib import Path
 from random import Random, SystemRandom
 
-import falcon.asgi
-
 from geraniumlead.forwarding import (
     CancelAttempt,
     Forwarder,
@@ -19,10 +17,11 @@
 from geraniumlead.peering import decode_peering, encode_peering
 from geraniumlead.peering.peer_letter import PeerLetter
 from geraniumlead.settings import PlatformSettings
+from geraniumlead_server.forwarding_client import AttemptClient
 from geraniumlead_server.forwarding_driver import ForwardingDriver
 from geraniumlead_server.forwarding_front import (
-    build_forwarding_app,
-    build_ready_app,
+    BalancerQuestion,
+    ForwardingApp,
     protocol_with_limits,
 )
 from geraniumlead_server.forwarding_telemetry import DecisionLog
@@ -30,7 +29,6 @@
 from geraniumlead_server.platform import StoreClient
 from geraniumlead_server.platform_main import load_platform_settings
 from geraniumlead_server.store_follower import StoreFollower
-from geraniumlead_server.upstream_client.attempt_client import AttemptClient
 from geraniumlead_server.web_server import WebServer
 
 SPARE_CONNECTIONS = 2_000
@@ -127,9 +125,9 @@
         log = DecisionLog(self._driver.now_ms())
         self._driver.observers.append(lambda decision: log.observe(decision, self._driver.now_ms()))
         listen = self._settings.listen
-        front = build_forwarding_app(self._driver)
+        front = ForwardingApp(self._driver)
         protocol = protocol_with_limits(lambda: self._driver.limits)
-        ready = build_ready_app(self._driver)
+        ready = BalancerQuestion(self._driver)
         return [
             WebServer.from_address(front, listen.callers, SPARE_CONNECTIONS, protocol),
             WebServer.from_address(ready, listen.ready, OTHER_CONNECTIONS),
@@ -142,6 +140,8 @@
         first instance that listens; nobody reads metrics in its first seconds.
         """
         await asyncio.sleep(METRICS_DELAY_S)
+        import falcon.asgi
+
         from geraniumlead_server.forwarding_telemetry.metrics import ForwardingMetrics
         from geraniumlead_server.forwarding_telemetry.page import MetricsPage
 
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_attempt_client.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_attempt_client.py
@@ -13,7 +13,7 @@
     PossiblyExecuted,
     StartAttempt,
 )
-from geraniumlead_server.upstream_client.attempt_client import AttemptClient
+from geraniumlead_server.forwarding_client import AttemptClient
 from geraniumlead_standins.forwarding import StubUpstream, UpstreamFault
 from server_tests.ports import find_free_port
 
--- a/packages/geraniumlead/src/geraniumlead/membership/membership.py
+++ b/packages/geraniumlead/src/geraniumlead/membership/membership.py
@@ -2,8 +2,8 @@
 
 from random import Random
 
+from geraniumlead.beats import BeatRotation
 from geraniumlead.configuration.cluster_view import ClusterView
-from geraniumlead.membership.beat_rotation import BeatRotation
 from geraniumlead.membership.peer import Peer
 from geraniumlead.ownership.rendezvous import rank_by_rendezvous
 from geraniumlead.peers.messages import Goodbye, Heartbeat
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -3,7 +3,7 @@
 from math import ceil
 from random import Random
 
-from geraniumlead.membership.beat_rotation import BeatRotation
+from geraniumlead.beats import BeatRotation
 from geraniumlead.peering.known_peer import KnownPeer
 from geraniumlead.peering.messages import Farewell, Hello, PeerContact
 from geraniumlead.peering.peer_letter import SEED_PREFIX, PeerLetter
