Decode the notice of a crashing request

Cause: the union of messages that the decoder knows lacked CrashNotice, so peers dropped it as malformed. A request that crashes upstreams took up to three more at every instance that it reached, though the others knew. Found by reading; the earlier test passed the notice without the codec.

--- a/packages/geraniumlead/src/geraniumlead/peering/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -92,7 +92,13 @@
 
 
 PeeringMessage = (
-    Hello | Farewell | DelegatedRequest | DelegationTaken | DelegatedReply | DelegationCancelled
+    Hello
+    | Farewell
+    | DelegatedRequest
+    | DelegationTaken
+    | DelegatedReply
+    | DelegationCancelled
+    | CrashNotice
 )
 
 _ENCODER = Encoder()
