Let a peer bring late parts, count its sendings, and outlive its death

Change: the reply at the goal is not the last one; the last names the upstreams tried; a second time is set for the first reply. Tests: three in test_delegation, each failed before.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/attempt_book.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/attempt_book.py
@@ -51,7 +51,7 @@
         """Return the upstream for the next attempt of a leg; None when there is none."""
         opened = leg.request
         service = opened.configuration.services.get(leg.service)
-        if service is None or leg.sent_count >= opened.route.most_upstreams:
+        if service is None or len(leg.sent_to) >= opened.route.most_upstreams:
             return None
         usual_ms = self.clock.usual_ms(opened.route, now_ms)
         return self.chooser.choose(
@@ -75,7 +75,7 @@
         self._attempts[attempt.attempt_id] = attempt
         leg.open_attempts[attempt.attempt_id] = attempt
         leg.tried.add(upstream.upstream_id)
-        leg.sent_count += 1
+        leg.sent_to.append(upstream.upstream_id)
         self.chooser.estimate_of(upstream.upstream_id).in_flight += 1
         left_ms = opened.end_ms - now_ms
         self._actions.append(StartAttempt(attempt.attempt_id, upstream, opened.request, left_ms))
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegate_desk.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegate_desk.py
@@ -52,9 +52,23 @@
         """Take out a request that ends with what is in; return whom to tell what."""
         sender_id, number = self._owners.pop(opened.request.key)
         del self._keys[(sender_id, number)]
-        answered = [leg for leg in opened.legs if leg.answer is not None]
+        tried = tuple(
+            (leg.service, tuple(leg.sent_to)) for leg in opened.legs if leg.answer is None
+        )
+        return sender_id, self._reply(number, opened, is_final=True, tried=tried)
+
+    def report(self, opened: OpenRequest) -> tuple[str, DelegatedReply]:
+        """Return whom to tell what is in, while the rest is still waited for."""
+        sender_id, number = self._owners[opened.request.key]
+        return sender_id, self._reply(number, opened, is_final=False)
+
+    def _reply(self, number: int, opened: OpenRequest, **fields) -> DelegatedReply:
+        """Return a message with the answers that no earlier one had."""
+        answered = [leg for leg in opened.legs if leg.answer is not None and not leg.is_reported]
+        for leg in answered:
+            leg.is_reported = True
         target = opened.route.target
         count = target.record_count if isinstance(target, FanOut) else 0
         records = merge_greatest((leg.answer.body for leg in answered), count)
         signatures = tuple((leg.service, leg.answer.signature) for leg in answered)
-        return sender_id, DelegatedReply(number, False, signatures, records)
+        return DelegatedReply(number=number, signatures=signatures, records=records, **fields)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
@@ -33,6 +33,9 @@
 asked from here, which takes the rest. The tightest of today's goals needs 0.53 (150 ms, 20 ms
 away)."""
 
+REPLY_SLACK_MS = 40.0
+"""How much later than it was asked to a peer may reply, besides the way and its word."""
+
 PEER_WORK_MS = 3.0
 """What the peer's own work takes from the goal."""
 
@@ -52,6 +55,7 @@
     legs: list[Leg]
     peer: KnownPeer
     due_ms: float
+    reply_due_ms: float
     is_taken: bool = False
 
 
@@ -112,18 +116,19 @@
         """Ask a peer to ask the shards."""
         self._next += 1
         way_ms = _way_ms(peer)
-        due_ms = now_ms + _word_ms(peer)
-        delegation = Delegation(self._next, opened, legs, peer, due_ms)
-        self._open[delegation.number] = delegation
-        heappush(self._wakes, (due_ms, delegation.number))
-        peer.open_delegations += 1
-        opened.delegation = delegation.number
         request = opened.request
         time_left_ms = max(0.0, opened.end_ms - now_ms - way_ms)
         goal_left_ms = opened.goal_ms - now_ms - 2.0 * way_ms - PEER_WORK_MS
         if goal_left_ms < LEAST_GOAL_LEFT_MS:
             # It will be late in any case, and then only needs enough shards.
             goal_left_ms = time_left_ms - way_ms
+        due_ms = now_ms + _word_ms(peer)
+        reply_due_ms = due_ms + goal_left_ms + REPLY_SLACK_MS
+        delegation = Delegation(self._next, opened, legs, peer, due_ms, reply_due_ms)
+        self._open[delegation.number] = delegation
+        heappush(self._wakes, (due_ms, delegation.number))
+        peer.open_delegations += 1
+        opened.delegation = delegation.number
         message = DelegatedRequest(
             number=delegation.number,
             version=opened.configuration.version,
@@ -142,10 +147,27 @@
         return PeerLetter(peer.contact.instance_id, peer.contact.address, message)
 
     def note_taken(self, number: int) -> None:
-        """Note that a peer serves a request; from now on only the goal ends the wait."""
+        """Note that a peer serves a request; from now on it has until the goal to reply.
+
+        Failure: the peer dies after its word. Without a second time the request would wait
+        for its reply until its caller gives up.
+        """
+        delegation = self._open.get(number)
+        if delegation is None or delegation.is_taken:
+            return
+        delegation.is_taken = True
+        delegation.due_ms = delegation.reply_due_ms
+        heappush(self._wakes, (delegation.due_ms, number))
+
+    def take_reply(self, number: int, is_final: bool) -> Delegation | None:
+        """Return the delegation that a reply is for, and take it out with the final one."""
+        if is_final:
+            return self.take(number)
         delegation = self._open.get(number)
         if delegation is not None:
             delegation.is_taken = True
+            delegation.due_ms = float("inf")
+        return delegation
 
     def take(self, number: int) -> Delegation | None:
         """Take a delegation out that has its reply; None when nobody waits for it."""
@@ -166,9 +188,9 @@
         """Take out what peers did not take in time, and what they are told."""
         overdue = []
         while self._wakes and self._wakes[0][0] <= now_ms:
-            _, number = heappop(self._wakes)
+            due_ms, number = heappop(self._wakes)
             delegation = self._open.get(number)
-            if delegation is None or delegation.is_taken:
+            if delegation is None or delegation.due_ms != due_ms:
                 continue
             self.take(number)
             # Nothing more is passed to it until it is heard again.
--- a/packages/geraniumlead/src/geraniumlead/forwarding/leg_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/leg_sender.py
@@ -1,5 +1,7 @@
 """Send the parts of requests, and send again what failed or is late."""
 
+from collections.abc import Sequence
+
 from geraniumlead.fleet import UpstreamRecord
 from geraniumlead.forwarding.attempt_book import AttemptBook
 from geraniumlead.forwarding.crash_book import CrashBook
@@ -13,7 +15,6 @@
 )
 from geraniumlead.forwarding.waiting_legs import WaitingLegs
 
-DECLINED = "declined"
 NEVER_MS = float("inf")
 
 
@@ -68,13 +69,17 @@
         return sent
 
     def ask_again(self, opened: OpenRequest, legs: list[Leg], why: str, now_ms: float) -> None:
-        """Ask shards from here that a peer did not bring."""
+        """Ask shards from here that a peer did not bring.
+
+        What the peer has sent counts against the route's number of upstreams: counted anew
+        here, one request would reach twice as many.
+        """
         for leg in legs:
             is_too_late = opened.has_enough and now_ms >= opened.goal_ms
             upstream = None if is_too_late else self._book.choose(leg, now_ms)
             if upstream is None:
                 opened.settle_failed(leg, f"{why}, no upstream", now_ms)
-            elif why == DECLINED:
+            elif not leg.sent_to:
                 self._book.budgets.note_first(leg.service, now_ms)
                 self._book.send(leg, upstream, now_ms)
             elif self._book.budgets.may_repeat_failed(leg.service, now_ms):
@@ -83,6 +88,11 @@
             else:
                 opened.settle_failed(leg, f"{why}, no budget", now_ms)
 
+    def note_tried(self, leg: Leg, upstream_ids: Sequence[str | None]) -> None:
+        """Count what a peer has sent for a shard."""
+        leg.sent_to += upstream_ids
+        leg.tried.update(name for name in upstream_ids if name is not None)
+
     def take_result(self, attempt: Attempt, result: AttemptResult, now_ms: float) -> None:
         """Settle a part by the end of an attempt, or send it again."""
         leg = attempt.leg
@@ -109,7 +119,7 @@
                 why = f"not executed {status}"
             case NotReached(detail=detail):
                 # Nothing arrived there, so neither bound counts it.
-                leg.sent_count -= 1
+                leg.sent_to.remove(upstream_id)
                 why = f"not reached: {detail}"
             case PossiblyExecuted(detail=detail, is_connection_lost=is_lost):
                 leg.may_have_run = True
--- a/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
@@ -29,16 +29,21 @@
 
 @dataclass(slots=True)
 class Leg:
-    """The part of a request that goes to one service: all of it, or one shard."""
+    """The part of a request that goes to one service: all of it, or one shard.
+
+    ``sent_to`` holds an entry for each sending that may have arrived, also those of a peer;
+    None stands for one that the peer did not name.
+    """
 
     request: "OpenRequest"
     service: str
     open_attempts: dict[int, Attempt] = field(default_factory=dict)
     tried: set[str] = field(default_factory=set)
-    sent_count: int = 0
+    sent_to: list[str | None] = field(default_factory=list)
     may_have_run: bool = False
     is_waiting: bool = False
     is_delegated: bool = False
+    is_reported: bool = False
     answer: Completed | None = None
     failure: str | None = None
     failed_answer: Completed | None = None
@@ -64,6 +69,7 @@
     answered: int = 0
     extra: int = 0
     delegation: int | None = None
+    is_reported: bool = False
     notes: list[dict] = field(default_factory=list)
 
     @property
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
@@ -54,7 +54,7 @@
             case DelegationTaken(number=number):
                 self._runner.delegations.note_taken(number)
             case DelegatedReply(number=number):
-                delegation = self._runner.delegations.take(number)
+                delegation = self._runner.delegations.take_reply(number, message.is_final)
                 if delegation is not None:
                     self._runner.take_delegated(delegation, message, now_ms)
             case CrashNotice(fingerprint=fingerprint, upstream_ids=upstream_ids):
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -1,5 +1,6 @@
 """Run requests: send, send again, and end each with one reply."""
 
+from collections.abc import Mapping, Sequence
 from heapq import heappop, heappush
 from random import Random
 
@@ -11,7 +12,7 @@
 from geraniumlead.forwarding.delegate_desk import DelegateDesk
 from geraniumlead.forwarding.delegations import Delegation, Delegations
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
-from geraniumlead.forwarding.leg_sender import DECLINED, LegSender
+from geraniumlead.forwarding.leg_sender import LegSender
 from geraniumlead.forwarding.open_request import Leg, OpenRequest
 from geraniumlead.forwarding.replies import OwnReply
 from geraniumlead.forwarding.request_line import describe_request
@@ -140,26 +141,39 @@
     def take_delegated(self, delegation: Delegation, reply: DelegatedReply, now_ms: float) -> None:
         """Take in what a peer brought for the shards that it was asked to ask."""
         opened = delegation.opened
-        if reply.is_declined:
-            self.take_back(delegation, DECLINED, now_ms)
-            return
         signatures = dict(reply.signatures)
         records = reply.records
         for leg in delegation.legs:
             signature = signatures.get(leg.service)
-            if signature is not None:
+            if signature is not None and not leg.is_settled:
                 # The records are those of all the peer's shards; they are merged once.
                 opened.settle_answered(leg, Completed(OK, (), records, signature))
                 records = b""
-        missing = [leg for leg in delegation.legs if not leg.is_settled]
-        self._legs.ask_again(opened, missing, "missing at the peer", now_ms)
+        if reply.is_final:
+            why = "declined" if reply.is_declined else "missing at the peer"
+            tried = dict(reply.tried)
+            self._ask_from_here(delegation, tried, why, now_ms)
         self._go_on(opened, now_ms)
 
     def take_back(self, delegation: Delegation, why: str, now_ms: float) -> None:
-        """Ask the shards from here that a peer did not take."""
-        self._legs.ask_again(delegation.opened, delegation.legs, why, now_ms)
+        """Ask the shards from here of which a peer said nothing."""
+        # It may have sent each of them once, and only its word is late or lost.
+        tried = {leg.service: (None,) for leg in delegation.legs}
+        self._ask_from_here(delegation, tried, why, now_ms)
         self._go_on(delegation.opened, now_ms)
 
+    def _ask_from_here(
+        self,
+        delegation: Delegation,
+        tried: Mapping[str, Sequence[str | None]],
+        why: str,
+        now_ms: float,
+    ) -> None:
+        missing = [leg for leg in delegation.legs if not leg.is_settled]
+        for leg in missing:
+            self._legs.note_tried(leg, tried.get(leg.service, ()))
+        self._legs.ask_again(delegation.opened, missing, why, now_ms)
+
     def finish_attempt(self, attempt_id: int, result: AttemptResult, now_ms: float) -> None:
         """Take in the end of an attempt; one that nobody waits for is dropped."""
         attempt = self._book.take(attempt_id, result, now_ms)
@@ -263,6 +277,9 @@
         if opened.request.key not in self._open:
             return True
         is_over_goal = opened.is_fan_out and now_ms >= opened.goal_ms
+        if is_over_goal and opened.request.is_delegated and opened.settled < len(opened.legs):
+            self._report(opened)
+            return False
         if opened.settled == len(opened.legs) or (is_over_goal and opened.has_enough):
             self._finish(opened, "answered" if opened.has_enough else opened.first_failure, now_ms)
             return True
@@ -271,6 +288,18 @@
             return True
         return False
 
+    def _report(self, opened: OpenRequest) -> None:
+        """Bring a peer what is in at its goal, and go on with the rest.
+
+        Failure: with too few shards at the goal the peer needs some of the late ones. Given
+        up here they would be asked again, from afar, and begin anew at an upstream that may
+        be about to answer.
+        """
+        if not opened.is_reported:
+            opened.is_reported = True
+            sender_id, message = self.desk.report(opened)
+            self._actions.append(PeerReply(sender_id, message))
+
     def _finish(self, opened: OpenRequest, reason: str, now_ms: float) -> None:
         del self._open[opened.request.key]
         # What is still out at the end may have run, so it is no longer "not run".
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_delegation.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_delegation.py
@@ -11,7 +11,7 @@
     build_settings,
 )
 from core_tests.forwarding.harness import ForwarderHarness
-from geraniumlead.forwarding import PeerHeard
+from geraniumlead.forwarding import PeerHeard, PossiblyExecuted
 from geraniumlead.peering import (
     DelegatedReply,
     DelegatedRequest,
@@ -141,6 +141,71 @@
         self.run_both_until(self.near.now_ms + 350.0)
         self.assertEqual(1, self.near.replies[1].missing)
 
+    def test_a_late_part_still_comes_when_the_others_are_not_enough(self):
+        """Two of five shards are late, and at the goal the rest is not enough.
+
+        The peer brings what is in and waits on. Had it given up, the caller would wait for
+        both to begin anew, or get nothing when the budget of repeats is spent.
+        """
+        route = build_fan_out(shard_count=5, least_share=0.8)
+        records = [build_record("near", "shard-0")]
+        records += [
+            build_record(f"far.{name}", name, data_centre="midden-a") for name in route.services()
+        ]
+        for harness in (self.near, self.far):
+            harness.handle(build_news(build_configuration(route, version=2), *records))
+        self.run_both_until(self.near.now_ms + 1_500.0)
+        (attempt,) = self.near.ask()
+        self.near.end(attempt, build_answer(HIGH, signature="shard-0"))
+        self.deliver()
+        for started in self.far.started[:2]:
+            self.far.end(started, build_answer(HIGH, signature=started.upstream.service))
+        self.run_both_until(self.near.now_ms + 400.0)
+        self.assertEqual({}, self.near.replies)
+        self.assertEqual([], self.far.cancelled)
+        late = self.far.started[2]
+        self.far.end(late, build_answer(HIGH, signature=late.upstream.service))
+        self.far.end(self.far.started[3], PossiblyExecuted("reset"))
+        self.deliver()
+        self.assertEqual(1, self.near.replies[1].missing)
+        self.assertEqual(4, len(set(self.near.replies[1].signatures)))
+
+    def test_sendings_of_a_peer_count_against_the_upstreams_of_a_request(self):
+        """A route allows one upstream a shard; the peer's try fails.
+
+        Asked again from here, the request would run on two.
+        """
+        route = build_fan_out(shard_count=5, most_upstreams=1)
+        records = [build_record("near", "shard-0")]
+        for name in route.services():
+            records += [
+                build_record(f"far.{name}.{number}", name, data_centre="midden-a")
+                for number in (0, 1)
+            ]
+        for harness in (self.near, self.far):
+            harness.handle(build_news(build_configuration(route, version=2), *records))
+        self.run_both_until(self.near.now_ms + 1_500.0)
+        self.near.ask()
+        self.deliver()
+        for started in list(self.far.started):
+            self.far.end(started, PossiblyExecuted("reset"))
+        self.deliver()
+        self.run_both_until(self.near.now_ms + 900.0)
+        self.assertEqual(1, len(self.near.started))
+
+    def test_a_peer_that_dies_after_its_word_is_replaced_at_the_goal(self):
+        """The peer says that it serves the request, and loses power.
+
+        Its reply never comes. The caller still waits a while, so the shards are asked from
+        here instead of letting it wait for nothing.
+        """
+        self.near.ask()
+        self.deliver()
+        self.far.letters.clear()
+        started = self.near.run_until(self.near.now_ms + 450.0)
+        services = {attempt.upstream.service for attempt in started}
+        self.assertLessEqual({f"shard-{number}" for number in range(1, 5)}, services)
+
     def test_a_query_that_is_late_already_is_answered_with_enough(self):
         """A caller repeats after its goal has passed.
 
