Pass headers beyond ASCII on unchanged; let those who can meet their goals go first

Changes: UTF-8 both ways; the queue serves first who can still meet its goal. Tests: the front without a socket, headers, and the order of the queue; headers and order failed before.

--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/asgi_reply.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/asgi_reply.py
@@ -12,7 +12,8 @@
     send: Send, status: int, headers: Iterable[tuple[str, str]], body: bytes
 ) -> None:
     """Send status, headers and body; the length is added."""
-    encoded = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+    # aiohttp reads upstreams' headers this way; other bytes than theirs would be passed on.
+    encoded = [(name.encode(), value.encode("utf-8", "surrogateescape")) for name, value in headers]
     if status not in NO_CONTENT_STATUSES:
         encoded.append((b"content-length", b"%d" % len(body)))
     await send({"type": "http.response.start", "status": status, "headers": encoded})
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/requests.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/requests.py
@@ -35,7 +35,7 @@
     wait_ms = None
     named = _named_by_connection(scope["headers"])
     for raw_name, raw_value in scope["headers"]:
-        name, value = raw_name.decode("latin-1"), raw_value.decode("latin-1")
+        name, value = raw_name.decode("latin-1"), _read_text(raw_value)
         if name == "host":
             host = value
         elif name == _REQUEST_ID:
@@ -70,6 +70,14 @@
     return frozenset(name.strip() for name in names)
 
 
+def _read_text(value: bytes) -> str:
+    """Return a header's value; aiohttp writes it as UTF-8 again."""
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
+
+
 def _read_milliseconds(value: str) -> float | None:
     try:
         found = float(value)
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -1,6 +1,7 @@
 """Assemble one instance on the users' platform and run it on one loop."""
 
 import asyncio
+import gc
 import logging
 import signal
 import socket
@@ -101,6 +102,8 @@
         ready_task = servers[1].start()
         await self._wait_for_first_view()
         tasks = [servers[0].start([self._listener]), ready_task]
+        gc.freeze()
+        gc.enable()
         logger.info("started", extra={"fields": {"seeds": len(self._settings.seeds)}})
         await self._stopping.wait()
         await self._stop(servers, tasks)
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_main.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_main.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import gc
 import socket
 import sys
 from pathlib import Path
@@ -59,6 +60,9 @@
     if arguments.check:
         return 0
     listener = open_callers_socket(settings.listen.callers)
+    # What loading creates stays for good. Looking through it for cycles again and again takes
+    # a twentieth of the start, and later holds up the loop; the daemon turns it on again.
+    gc.disable()
 
     import asyncio
 
--- a/packages/geraniumlead-server/tests/server_tests/platform/test_messages.py
+++ b/packages/geraniumlead-server/tests/server_tests/platform/test_messages.py
@@ -39,6 +39,11 @@
         self.assertIn(("x-own", "1"), found.headers)
         self.assertIn(("x-own", "2"), found.headers)
         self.assertIn(("content-type", "text/x"), found.headers)
+
+    def test_headers_beyond_ascii_are_read_as_what_they_are_written_as(self):
+        found = self.read((b"x-name", "Jos\u00e9".encode()), (b"x-old", b"Jos\xe9"))
+        self.assertIn(("x-name", "Jos\u00e9"), found.headers)
+        self.assertIn(("x-old", "Jos\u00e9"), found.headers)
         self.assertIn(("request-id", "r1"), found.headers)
 
     def test_headers_of_the_connection_end_here(self):
--- a/packages/geraniumlead/src/geraniumlead/forwarding/leg_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/leg_sender.py
@@ -58,7 +58,7 @@
     def send_waiting(self, service: str, now_ms: float) -> list[OpenRequest]:
         """Use the places that have become free at a service; return whose parts were sent."""
         sent: list[OpenRequest] = []
-        while (leg := self._waiting.take(service)) is not None:
+        while (leg := self._waiting.take(service, now_ms)) is not None:
             upstream = self._book.choose(leg, now_ms)
             if upstream is None:
                 self._waiting.add(leg)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/waiting_legs.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/waiting_legs.py
@@ -17,7 +17,11 @@
     Load pattern: a burst, or all callers at once after a loss of power. Each upstream takes a
     few calls of each instance, and the next place comes within some ten milliseconds. Without
     the wait such parts were missing although their upstreams lived, and with several of them
-    the whole request was refused. The most urgent route goes first, then the earliest goal.
+    the whole request was refused.
+
+    Who can still meet its goal goes first; among them the most urgent route, then the earliest
+    goal. By the goal alone those who waited out a loss of power came first, late anyhow, and
+    made all who came after them late for another second.
     """
 
     __slots__ = ("_legs",)
@@ -34,12 +38,12 @@
         leg.is_waiting = True
         return True
 
-    def take(self, service: str) -> Leg | None:
+    def take(self, service: str, now_ms: float) -> Leg | None:
         """Take out the part whose turn it is; None when none waits."""
         waiting = self._legs.get(service)
         if not waiting:
             return None
-        leg = min(waiting, key=_urgency)
+        leg = min(waiting, key=lambda leg: _urgency(leg, now_ms))
         waiting.remove(leg)
         leg.is_waiting = False
         return leg
@@ -55,6 +59,6 @@
         return bool(self._legs.get(service))
 
 
-def _urgency(leg: Leg) -> tuple[int, float]:
+def _urgency(leg: Leg, now_ms: float) -> tuple[bool, int, float]:
     opened = leg.request
-    return opened.route.priority, opened.goal_ms
+    return now_ms >= opened.goal_ms, opened.route.priority, opened.goal_ms
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_waiting.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_waiting.py
@@ -64,6 +64,21 @@
         (next_one,) = harness.end(first[0], build_answer())
         self.assertEqual("/urgent/1", next_one.request.target)
 
+    def test_who_can_still_meet_its_goal_goes_before_who_cannot(self):
+        """Callers that waited out a loss of power come at once with new ones.
+
+        The old ones' goals have passed and they are glad of any answer in the next second.
+        Served first, by their earlier goals, they made all new ones late as well, and the
+        queue of late requests outlived the outage by a second.
+        """
+        harness = self.build(build_route())
+        harness.ask(1, wait_ms=1_000.0)
+        first = [attempt for key in (2, 3) for attempt in harness.ask(key)]
+        harness.ask(4, wait_ms=500.0)
+        harness.ask(5, wait_ms=1_000.0)
+        (next_one,) = harness.end(first[0], build_answer())
+        self.assertEqual("request-5", next_one.request.request_id)
+
     def test_a_caller_that_leaves_gives_its_turn_away(self):
         harness = self.build(build_route())
         first = [attempt for key in range(1, 4) for attempt in harness.ask(key)]
