--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
@@ -23,7 +23,9 @@
 WATCH_SLACK_S = 1.0
 """How much longer than it should a watch may take; its connection then counts as silent."""
 
-READ_PREFIXES = ("op/", "servers/")
+ALL_KEYS = ""
+"""Prefix of every key. Read one by one, the two prefixes in use cost a start one more way to the
+store and back, 40 ms from another region, in which callers wait."""
 
 logger = logging.getLogger("geraniumlead")
 
@@ -80,22 +82,20 @@
         """
         found: list[News] = []
         first_revision = None
+        after = ""
         self._revisions.clear()
-        for prefix in READ_PREFIXES:
-            after = ""
-            while True:
-                query = {"prefix": prefix, "after": after} if after else {"prefix": prefix}
-                page = await self._call(RANGE_PATH, query, READ_TIMEOUT_S, _RANGE)
-                first_revision = page.revision if first_revision is None else first_revision
-                found += self._read_items(page.items)
-                if not page.truncated or not page.items:
-                    break
-                after = page.items[-1].key
-        return tuple(found), first_revision or 0
+        while True:
+            query = {"prefix": ALL_KEYS, "after": after} if after else {"prefix": ALL_KEYS}
+            page = await self._call(RANGE_PATH, query, READ_TIMEOUT_S, _RANGE)
+            first_revision = page.revision if first_revision is None else first_revision
+            found += self._read_items(page.items)
+            if not page.truncated or not page.items:
+                return tuple(found), first_revision
+            after = page.items[-1].key
 
     async def watch(self, revision: int, wait_ms: int) -> tuple[tuple[News, ...], int]:
         """Return what changed after a revision; raises HistoryGoneError when that is unknown."""
-        query = {"prefix": "", "after": str(revision), "waitMs": str(wait_ms)}
+        query = {"prefix": ALL_KEYS, "after": str(revision), "waitMs": str(wait_ms)}
         timeout_s = wait_ms / 1000.0 + WATCH_SLACK_S
         found = await self._call(WATCH_PATH, query, timeout_s, _WATCH)
         return tuple(self._read_items(found.events)), found.revision
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/store_records.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/store_records.py
@@ -83,11 +83,15 @@
 
 
 class ServiceBody(Struct, rename="camel"):
-    """Be a service. ``max_conns`` counts the connections of all callers together."""
+    """Be a service. ``max_conns`` counts the connections of all callers together.
+
+    ``warmup_per_s`` is what a cold upstream takes each second, from all callers; 0 sets no bound.
+    """
 
     name: Name
     max_conns: Annotated[int, Meta(ge=0)] = 0
     warmup_per_s: NotNegative = 0.0
+    warmup_s: NotNegative = 0.0
 
 
 class LimitsBody(Struct, rename="camel", frozen=True):
@@ -162,7 +166,12 @@
     except (DecodeError, ValidationError, UnicodeDecodeError, RecursionError) as error:
         return Unreadable(CONFIGURATION_KEY, str(error))
     services = {
-        found.name: UpstreamService(found.name, found.max_conns, found.warmup_per_s)
+        found.name: UpstreamService(
+            name=found.name,
+            most_connections=found.max_conns,
+            cold_requests_per_s=found.warmup_per_s,
+            cold_ms=found.warmup_s * 1000.0,
+        )
         for found in body.services
     }
     limits = RequestLimits(
--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -47,7 +47,7 @@
         """Follow the store until cancelled."""
         backoff = Backoff(self._random)
         revision: int | None = None
-        has_read = False
+        has_read = is_history_short = False
         while True:
             try:
                 if revision is None:
@@ -56,9 +56,13 @@
                 else:
                     news, revision = await self._client.watch(revision, WATCH_MS)
                     self._report(PublishedNews(news, is_snapshot=False))
+                    is_history_short = False
             except HistoryGoneError:
                 logger.info("history_gone", extra={"fields": {"revision": revision}})
                 revision = None
+                if is_history_short:
+                    await asyncio.sleep(backoff.next_pause_s())
+                is_history_short = True
                 continue
             except StoreError as error:
                 self._report(StoreLost(str(error)))
@@ -66,5 +70,6 @@
                 await asyncio.sleep(pause_s if has_read else min(FIRST_READ_PAUSE_S, pause_s))
                 continue
             has_read = True
-            backoff.reset()
+            if not is_history_short:
+                backoff.reset()
             await asyncio.sleep(self._pause_s * (0.9 + 0.2 * self._random.random()))
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_store_follower.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_store_follower.py
@@ -58,6 +58,19 @@
         await self.wait_for(lambda: len(self.snapshots()) == 2)
         self.assertEqual(1, len(self.news(UpstreamSeen)))
 
+    async def test_a_store_without_any_history_is_not_asked_in_a_loop(self):
+        """The store forgets everything at once, again and again.
+
+        Each watch is refused and everything read anew; without a pause one instance alone
+        would ask hundreds of times a second, and all pay for it and slow the store down.
+        """
+        await self.wait_for(self.snapshots)
+        self.store.oldest = 10**9
+        await asyncio.sleep(0.3)
+        before = self.store.calls
+        await asyncio.sleep(2.0)
+        self.assertLessEqual(self.store.calls - before, 12)
+
     async def test_a_store_that_refuses_is_asked_ever_less(self):
         """The store turns this instance away for seconds.
 
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/batch_spread.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/batch_spread.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from geraniumlead.ownership import rank_by_rendezvous
+from geraniumlead.hashing import rank_by_rendezvous
 
 UPSTREAMS_PER_DATA_CENTRE = 1_091
 INSTANCE_COUNTS = (24, 60, 120, 227)
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/ownership_moves.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/capacity/ownership_moves.py
@@ -1,6 +1,6 @@
 """Count the upstreams that change owners when instances come and go."""
 
-from geraniumlead.ownership import rank_by_rendezvous
+from geraniumlead.hashing import rank_by_rendezvous
 
 UPSTREAMS_PER_DATA_CENTRE = 1_091
 INSTANCE_COUNTS = (7, 24, 60, 120, 227)
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/histories/key_owner_variant.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/histories/key_owner_variant.py
@@ -4,8 +4,8 @@
 from contextlib import contextmanager
 from unittest.mock import patch
 
+from geraniumlead.hashing import rank_by_rendezvous
 from geraniumlead.instance.request_handler import RequestHandler
-from geraniumlead.ownership import rank_by_rendezvous
 from geraniumlead.requests import CallerRequest
 from geraniumlead.tickets import TicketRecord
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/attempt_book.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/attempt_book.py
@@ -76,7 +76,7 @@
         leg.open_attempts[attempt.attempt_id] = attempt
         leg.tried.add(upstream.upstream_id)
         leg.sent_to.append(upstream.upstream_id)
-        self.chooser.estimate_of(upstream.upstream_id).in_flight += 1
+        self.chooser.note_sent(upstream, now_ms)
         left_ms = opened.end_ms - now_ms
         self._actions.append(StartAttempt(attempt.attempt_id, upstream, opened.request, left_ms))
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/late_clock.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/late_clock.py
@@ -32,6 +32,10 @@
 """Guess of when an attempt is late before any latency is known: a second one then has the
 better half of the goal left."""
 
+UNKNOWN_LAST_GOAL_SHARE = 0.6
+"""The same with a short budget. After a loss of power the first requests of an instance come all
+at once and take long, for connections are new and upstreams busy. With the guess above they
+repeated two parts in three and spent the budget of the next ten seconds."""
 
 REPLY_MARGIN_MS = 7.0
 """Left of the goal for this instance's own work: the loop is seldom busy for longer."""
@@ -71,7 +75,8 @@
         second_share = SECOND_SHARE if has_plenty else LAST_CHANCE_SHARE
         second_ms = self._clock.delay_ms(route.name, 1.0 - second_share, now_ms)
         if found_ms is None or second_ms is None:
-            return UNKNOWN_LATE_GOAL_SHARE * route.latency_goal_ms
+            share = UNKNOWN_LATE_GOAL_SHARE if has_plenty else UNKNOWN_LAST_GOAL_SHARE
+            return share * route.latency_goal_ms
         late_ms = attempt.way_ms + found_ms
         latest_ms = goal_left_ms - attempt.second_way_ms - second_ms
         if latest_ms <= 0.0:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
@@ -21,11 +21,15 @@
 """Peers that are told of a crash: all of today's. In larger fleets each of them tells others
 when the request comes again there, so it is stopped after one more crash at most."""
 
+COUNT_MS = 100.0
+"""Time between two counts of the instances that live: they look at every peer, and a peer counts
+as gone only after seconds."""
+
 
 class PeerDesk:
     """Keep in touch with peers, and serve what they ask for."""
 
-    __slots__ = ("_actions", "_count", "_published", "_runner", "directory")
+    __slots__ = ("_actions", "_count_due_ms", "_counted", "_published", "_runner", "directory")
 
     def __init__(
         self,
@@ -37,7 +41,8 @@
         self._runner = runner
         self._published = published
         self._actions = actions
-        self._count = 0
+        self._counted: tuple[int, list[str]] = (0, [])
+        self._count_due_ms = float("-inf")
         self.directory = directory
 
     def take(self, sender_id: str, message: PeeringMessage, now_ms: float, is_ready: bool) -> None:
@@ -79,13 +84,9 @@
             for peer in self.directory.live(now_ms)[:MOST_TOLD]:
                 contact = peer.contact
                 self._actions.append(PeerLetter(contact.instance_id, contact.address, notice))
-        count = self.directory.count(now_ms)
-        if count != self._count:
-            self._count = count
-            self._runner.set_instances(count)
-            live = [peer.contact.instance_id for peer in self.directory.live(now_ms)]
-            fields = {"instances": count, "live_peers": live}
-            self._actions.append(LogDecision("peers", fields))
+        if now_ms >= self._count_due_ms:
+            self._count_due_ms = now_ms + COUNT_MS
+            self._count_instances(now_ms)
 
     def next_wake_ms(self) -> float:
         """Return when ``wake`` has something to do."""
@@ -115,6 +116,15 @@
         request = self._runner.desk.accept(sender_id, message, now_ms)
         self._runner.start(request, route, configuration, now_ms)
 
+    def _count_instances(self, now_ms: float) -> None:
+        count = self.directory.count(now_ms)
+        live = [peer.contact.instance_id for peer in self.directory.live(now_ms)]
+        if (count, live) != self._counted:
+            self._counted = count, live
+            self._runner.set_instances(count, [*live, self.directory.own_id])
+            fields = {"instances": count, "live_peers": live}
+            self._actions.append(LogDecision("peers", fields))
+
     def _letter(self, instance_id: str, message: PeeringMessage) -> PeerLetter | None:
         peer = self.directory.peers.get(instance_id)
         if peer is None:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/published_state.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/published_state.py
@@ -53,13 +53,13 @@
                 case ConfigurationSeen(configuration=configuration):
                     self._take_configuration(configuration, now_ms)
                 case UpstreamSeen(record=record):
-                    self._take_upstream(record)
+                    self._take_upstream(record, now_ms)
                 case UpstreamWithdrawn(upstream_id=upstream_id):
                     self._withdraw(upstream_id, now_ms)
                 case EvacuationSeen(data_centre=name, is_evacuated=True):
-                    self._set_evacuated(self._fleet.evacuated | {name})
+                    self._set_evacuated(self._fleet.evacuated | {name}, now_ms)
                 case EvacuationSeen(data_centre=name):
-                    self._set_evacuated(self._fleet.evacuated - {name})
+                    self._set_evacuated(self._fleet.evacuated - {name}, now_ms)
         if event.is_snapshot:
             self._drop_missing(event, now_ms)
 
@@ -97,14 +97,16 @@
         before = None if current is None else current.version
         self._log("configuration", {"version": found.version, "before": before})
 
-    def _take_upstream(self, record: UpstreamRecord) -> None:
+    def _take_upstream(self, record: UpstreamRecord, now_ms: float) -> None:
         before = self._fleet.put(record)
         if before is not None and before.is_same_life(record):
+            self._chooser.cold.note_cold(record.upstream_id, record.cold_left_ms, now_ms)
             if before.is_ready != record.is_ready:
                 fields = {"upstream": record.upstream_id, "ready": record.is_ready}
                 self._log("upstream_changed", fields)
             return
         self._chooser.forget(record.upstream_id)
+        self._chooser.cold.note_cold(record.upstream_id, record.cold_left_ms, now_ms)
         fields = {
             "upstream": record.upstream_id,
             "service": record.service,
@@ -119,10 +121,26 @@
             self._chooser.forget(upstream_id)
             self._log("upstream_left", {"upstream": upstream_id, "cause": "withdrawn"})
 
-    def _set_evacuated(self, names: frozenset[str]) -> None:
-        if names != self._fleet.evacuated:
-            self._fleet.set_evacuated(names)
-            self._log("evacuated", {"data_centres": sorted(names)})
+    def _set_evacuated(self, names: frozenset[str], now_ms: float) -> None:
+        if names == self._fleet.evacuated:
+            return
+        returned = self._fleet.evacuated - names
+        self._fleet.set_evacuated(names)
+        self._note_returned(returned, now_ms)
+        self._log("evacuated", {"data_centres": sorted(names)})
+
+    def _note_returned(self, data_centres: frozenset[str], now_ms: float) -> None:
+        """Take the upstreams of data centres that are back for cold.
+
+        Failure: without requests their caches emptied, and what they publish of it comes a
+        heartbeat later. Taken for warm, they would crash under the load that waits for them.
+        """
+        services = {} if self.configuration is None else self.configuration.services
+        for upstream_id in self._fleet.ids() if data_centres else ():
+            record = self._fleet.get(upstream_id)
+            service = services.get(record.service)
+            if record.data_centre in data_centres and service is not None:
+                self._chooser.cold.note_cold(upstream_id, service.cold_ms, now_ms)
 
     def _drop_missing(self, event: PublishedNews, now_ms: float) -> None:
         listed = {item.record.upstream_id for item in event.news if isinstance(item, UpstreamSeen)}
@@ -133,7 +151,7 @@
             for item in event.news
             if isinstance(item, EvacuationSeen) and item.is_evacuated
         )
-        self._set_evacuated(evacuated)
+        self._set_evacuated(evacuated, now_ms)
 
     def _log(self, name: str, fields: dict, level: str = "info") -> None:
         self._actions.append(LogDecision(name, fields, level))
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -84,9 +84,9 @@
         """Return what chooses upstreams."""
         return self._book.chooser
 
-    def set_instances(self, count: int) -> None:
-        """Take over how many instances share the limits of the fleet."""
-        self._book.chooser.set_instances(count)
+    def set_instances(self, count: int, live: Sequence[str]) -> None:
+        """Take over how many instances share the limits of the fleet, and who lives of them."""
+        self._book.chooser.set_instances(count, live)
         self._book.budgets.set_instances(count)
 
     def apply_settings(self, settings: ForwardingSettings) -> None:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/upstream_chooser.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/upstream_chooser.py
@@ -1,9 +1,10 @@
 """Choose the upstream that a request is sent to."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from random import Random
 
 from geraniumlead.fleet import FleetView, UpstreamRecord
+from geraniumlead.forwarding.cold_rates import ColdRates
 from geraniumlead.forwarding.data_centre_ways import DataCentreWays
 from geraniumlead.forwarding.upstream_estimate import UpstreamEstimate
 from geraniumlead.routes import Route, UpstreamService
@@ -35,7 +36,7 @@
     A choice by turns sends half of all calls to the slow one.
     """
 
-    __slots__ = ("_estimates", "_fleet", "_instances", "_random", "_settings", "_ways")
+    __slots__ = ("_estimates", "_fleet", "_instances", "_random", "_settings", "_ways", "cold")
 
     def __init__(
         self,
@@ -50,14 +51,17 @@
         self._random = random
         self._instances = 1
         self._estimates: dict[str, UpstreamEstimate] = {}
+        self.cold = ColdRates(settings)
 
-    def set_instances(self, count: int) -> None:
-        """Take over how many instances share the upstreams' connections."""
+    def set_instances(self, count: int, live: Sequence[str]) -> None:
+        """Take over how many instances share the upstreams, and who lives of them."""
         self._instances = max(1, count)
+        self.cold.set_instances(count, live)
 
     def apply_settings(self, settings: ForwardingSettings) -> None:
         """Take over changed settings."""
         self._settings = settings
+        self.cold.apply_settings(settings)
 
     def estimate_of(self, upstream_id: str) -> UpstreamEstimate:
         """Return what is known of an upstream."""
@@ -68,10 +72,16 @@
 
     def forget(self, upstream_id: str) -> None:
         """Forget an upstream that is gone or began a new life; calls in flight stay counted."""
+        self.cold.forget(upstream_id)
         estimate = self._estimates.pop(upstream_id, None)
         if estimate is not None and estimate.in_flight:
             self._estimates[upstream_id] = UpstreamEstimate(in_flight=estimate.in_flight)
 
+    def note_sent(self, record: UpstreamRecord, now_ms: float) -> None:
+        """Count a request that goes to an upstream."""
+        self.estimate_of(record.upstream_id).in_flight += 1
+        self.cold.note_sent(record.upstream_id, now_ms)
+
     def has_near(self, service: str) -> bool:
         """Return whether a service has a usable upstream in the own region."""
         regions = self._settings.regions
@@ -121,6 +131,8 @@
                 continue
             if now_ms < estimate.gone_until_ms or not self._is_allowed(route, record):
                 continue
+            if not self.cold.may_send(record.upstream_id, service, now_ms):
+                continue
             is_avoided = now_ms < estimate.avoid_until_ms
             if is_avoided and only_good:
                 continue
@@ -136,7 +148,7 @@
     ) -> float:
         waiting = 1.0 + estimate.in_flight / max(1, record.slots)
         expected_ms = usual_ms * estimate.slowness_at(now_ms) * waiting
-        if record.cold_left_ms > 0.0:
+        if self.cold.is_cold(record.upstream_id, now_ms):
             expected_ms *= COLD_FACTOR
         expected_ms += FAILURE_COST_MS * estimate.failure_share_at(now_ms)
         expected_ms *= 1.0 + JITTER_SHARE * self._random.random()
--- a/packages/geraniumlead/src/geraniumlead/hashing/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/hashing/__init__.py
@@ -1,11 +1,6 @@
-"""Hash text the same way on every instance."""
+"""Hash text, and rank names by it, the same way on every instance."""
 
-from xxhash import xxh3_64_intdigest
+from geraniumlead.hashing.rendezvous import rank_by_rendezvous
+from geraniumlead.hashing.text import hash_text
 
-
-def hash_text(text: str) -> int:
-    """Return a 64-bit hash that does not depend on the process."""
-    return xxh3_64_intdigest(text.encode())
-
-
-__all__ = ["hash_text"]
+__all__ = ["hash_text", "rank_by_rendezvous"]
--- a/packages/geraniumlead/src/geraniumlead/ownership/rendezvous.py
+++ b/packages/geraniumlead/src/geraniumlead/hashing/rendezvous.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from geraniumlead.hashing import hash_text
+from geraniumlead.hashing.text import hash_text
 
 
 def rank_by_rendezvous(subject: str, names: Iterable[str]) -> list[str]:
--- a/packages/geraniumlead/src/geraniumlead/membership/membership.py
+++ b/packages/geraniumlead/src/geraniumlead/membership/membership.py
@@ -4,8 +4,8 @@
 
 from geraniumlead.beats import BeatRotation
 from geraniumlead.configuration.cluster_view import ClusterView
+from geraniumlead.hashing import rank_by_rendezvous
 from geraniumlead.membership.peer import Peer
-from geraniumlead.ownership.rendezvous import rank_by_rendezvous
 from geraniumlead.peers.messages import Goodbye, Heartbeat
 
 WATCHERS_PER_DATA_CENTRE = 2
--- a/packages/geraniumlead/src/geraniumlead/ownership/owners.py
+++ b/packages/geraniumlead/src/geraniumlead/ownership/owners.py
@@ -1,7 +1,7 @@
 """Compute the owners of each upstream."""
 
 from geraniumlead.configuration.cluster_view import ClusterView
-from geraniumlead.ownership.rendezvous import rank_by_rendezvous
+from geraniumlead.hashing import rank_by_rendezvous
 
 MOST_OWNERS = 6
 """Owners of one upstream; the cost per subquery is least near six at the target size."""
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -87,6 +87,11 @@
         self._random = random
         self.peers: dict[str, KnownPeer] = {}
 
+    @property
+    def own_id(self) -> str:
+        """Return the name of this instance."""
+        return self._contact.instance_id
+
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Take over changed seeds."""
         self._seeds = tuple(address for address in seeds if address != self._contact.address)
--- a/packages/geraniumlead/src/geraniumlead/quarantine/canary_planner.py
+++ b/packages/geraniumlead/src/geraniumlead/quarantine/canary_planner.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from geraniumlead.configuration.cluster_view import ClusterView
-from geraniumlead.ownership.rendezvous import rank_by_rendezvous
+from geraniumlead.hashing import rank_by_rendezvous
 from geraniumlead.planning.query_plan import QueryPlan
 from geraniumlead.quarantine.canary_plan import CanaryPlan
 
--- a/packages/geraniumlead/src/geraniumlead/routing/router.py
+++ b/packages/geraniumlead/src/geraniumlead/routing/router.py
@@ -7,9 +7,9 @@
 from geraniumlead.configuration.cluster_view import ClusterView
 from geraniumlead.dispatch.dispatcher import Dispatcher
 from geraniumlead.dispatch.upstream_gate import count_long_places
+from geraniumlead.hashing import rank_by_rendezvous
 from geraniumlead.membership.membership import Membership
 from geraniumlead.ownership.owners import OwnerTable
-from geraniumlead.ownership.rendezvous import rank_by_rendezvous
 from geraniumlead.routing.replica import SUSPECT_AFTER_OVERDUE, Replica
 from geraniumlead.routing.replica_group import ReplicaGroup
 from geraniumlead.routing.route import Route
--- a/packages/geraniumlead/src/geraniumlead/settings/forwarding_settings.py
+++ b/packages/geraniumlead/src/geraniumlead/settings/forwarding_settings.py
@@ -10,7 +10,9 @@
     ``extra_share`` and ``extra_slack`` bound the requests that all instances together may
     send beyond the first of each: the share of the requests for a service in a window of
     ``extra_window_ms``, plus the slack. ``regions`` maps each data centre to its region.
-    ``address`` is where peers reach this instance, ``seeds`` are some of theirs.
+    A cold upstream takes ``cold_factor`` times its own rate and ``cold_slack`` requests a
+    second from all of them. ``address`` is where peers reach this instance, ``seeds`` are
+    some of theirs.
     """
 
     instance_id: str
@@ -21,6 +23,8 @@
     extra_share: float = 0.1
     extra_slack: float = 0.0
     extra_window_ms: float = 10_000.0
+    cold_factor: float = 1.0
+    cold_slack: float = 0.0
 
     @property
     def region(self) -> str | None:
--- a/packages/geraniumlead/src/geraniumlead/settings/platform_settings.py
+++ b/packages/geraniumlead/src/geraniumlead/settings/platform_settings.py
@@ -25,7 +25,9 @@
     """Set the bounds that the platform and its operators hold this instance to.
 
     ``extra_share`` and ``extra_slack`` bound the requests sent beyond the first of each to a
-    service in ``extra_window_s``, over all instances.
+    service in ``extra_window_s``, over all instances. ``cold_factor`` and ``cold_slack`` bound
+    what all of them send to a cold upstream in a second: its own rate times the one, plus the
+    other.
     """
 
     drain_ms: Milliseconds
@@ -35,6 +37,8 @@
     extra_share: Share
     extra_slack: Annotated[float, Meta(ge=0)]
     extra_window_s: Annotated[float, Meta(gt=0, le=600)]
+    cold_factor: Annotated[float, Meta(ge=0)] = 1.0
+    cold_slack: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class PlatformSettings(Struct, frozen=True, kw_only=True):
@@ -73,4 +77,6 @@
             extra_share=bounds.extra_share,
             extra_slack=bounds.extra_slack,
             extra_window_ms=bounds.extra_window_s * 1000.0,
+            cold_factor=bounds.cold_factor,
+            cold_slack=bounds.cold_slack,
         )
--- a/packages/geraniumlead/tests/core_tests/dispatch/test_dispatcher.py
+++ b/packages/geraniumlead/tests/core_tests/dispatch/test_dispatcher.py
@@ -10,7 +10,8 @@
     build_view,
 )
 from geraniumlead.dispatch import Dispatcher, DispatchStep, EndCall, StartCall
-from geraniumlead.ownership import OwnerTable, rank_by_rendezvous
+from geraniumlead.hashing import rank_by_rendezvous
+from geraniumlead.ownership import OwnerTable
 from geraniumlead.upstreams import ConnectionLost, Draining, Shed
 
 
--- /dev/null
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_cold_rates.py
@@ -0,0 +1,98 @@
+"""Test that all instances together send a cold upstream no more than it takes."""
+
+from unittest import TestCase
+
+from core_tests.forwarding.builders import (
+    build_answer,
+    build_configuration,
+    build_news,
+    build_record,
+    build_route,
+    build_settings,
+)
+from core_tests.forwarding.harness import ForwarderHarness
+from geraniumlead.forwarding import EvacuationSeen, PublishedNews
+from geraniumlead.routes import PublishedConfiguration, UpstreamService
+
+RATE_PER_S = 3.0
+FACTOR = 1.5
+SLACK = 5.0
+MOST_PER_S = RATE_PER_S * FACTOR + SLACK
+COLD_MS = 3_000.0
+
+
+class ColdRateTests(TestCase):
+    def build(self, count: int, **upstreams: float) -> list[ForwarderHarness]:
+        """Return instances that know each other, with upstreams by name and cold time."""
+        names = [f"entry-{number}" for number in range(count)]
+        route = build_route(priority=1)
+        service = UpstreamService("reader", 500, RATE_PER_S, COLD_MS)
+        found = build_configuration(route)
+        configuration = PublishedConfiguration(1, found.routes, {"reader": service})
+        records = [build_record(name, cold_left_ms=ms) for name, ms in upstreams.items()]
+        fleet = []
+        for name in names:
+            settings = build_settings(name, cold_factor=FACTOR, cold_slack=SLACK)
+            harness = ForwarderHarness(settings, seed=len(fleet))
+            harness.run_until(10_000.0)
+            harness.forwarder._runner.set_instances(count, names)
+            harness.handle(build_news(configuration, *records))
+            harness.forwarder._peers._count_due_ms = float("inf")
+            fleet.append(harness)
+        return fleet
+
+    def send_for(self, fleet: list[ForwarderHarness], seconds: float) -> list[tuple[float, str]]:
+        """Let each instance have fifty requests a second; return when each was sent where."""
+        sent: list[tuple[float, str]] = []
+        begin_ms = fleet[0].now_ms
+        while fleet[0].now_ms < begin_ms + seconds * 1000.0:
+            for harness in fleet:
+                harness.run_until(harness.now_ms + 20.0)
+                key = len(harness.replies) + 1_000
+                for attempt in harness.ask(key, arrived_ms=harness.now_ms, wait_ms=10.0):
+                    sent.append((harness.now_ms, attempt.upstream.upstream_id))
+                    harness.end(attempt, build_answer())
+        return sent
+
+    def most_in_a_second(self, sent: list[tuple[float, str]], upstream_id: str) -> int:
+        times = [at_ms for at_ms, name in sent if name == upstream_id]
+        return max((sum(1 for t in times if a <= t < a + 1000.0) for a in times), default=0)
+
+    def test_few_and_many_instances_keep_the_bound_together(self):
+        """An upstream starts, and instances with hundreds of requests a second find it idle.
+
+        With more than its few it crashes, starts again, and is cold again: callers see it
+        come and go for as long as the load lasts.
+        """
+        for count in (2, 7, 40):
+            with self.subTest(instances=count):
+                sent = self.send_for(self.build(count, cold=COLD_MS - 100.0), 2.5)
+                most = self.most_in_a_second(sent, "cold")
+                self.assertLessEqual(most, MOST_PER_S)
+                self.assertGreaterEqual(most, 2)
+
+    def test_it_takes_its_full_part_when_it_is_warm(self):
+        (harness,) = self.build(1, cold=500.0)
+        self.assertEqual(1, len(harness.ask(1)))
+        self.send_for([harness], 1.0)
+        sent = self.send_for([harness], 1.0)
+        self.assertGreater(self.most_in_a_second(sent, "cold"), 2 * MOST_PER_S)
+
+    def test_a_data_centre_that_comes_back_is_taken_for_cold(self):
+        """Its upstreams got nothing for a while, and what they publish lags.
+
+        Requests waited for their return; sent at once, they would crash all of them.
+        """
+        (harness,) = self.build(1, back=0.0)
+        out = PublishedNews((EvacuationSeen("noord-a", True),), is_snapshot=False)
+        back = PublishedNews((EvacuationSeen("noord-a", False),), is_snapshot=False)
+        harness.handle(out)
+        harness.handle(back)
+        sent = self.send_for([harness], 2.0)
+        self.assertLessEqual(self.most_in_a_second(sent, "back"), MOST_PER_S)
+        self.assertGreater(len(sent), 5)
+
+    def test_upstreams_that_only_are_slower_take_everything(self):
+        (harness,) = self.build(1, cold=COLD_MS)
+        service = UpstreamService("reader", 500, 0.0, COLD_MS)
+        self.assertTrue(harness.forwarder._runner.chooser.cold.may_send("cold", service, 0.0))
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_fan_out.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_fan_out.py
@@ -120,7 +120,7 @@
         Repeated without a bound, the load on what is overloaded already would double.
         """
         harness = ForwarderHarness()
-        harness.forwarder._runner.set_instances(1)
+        harness.forwarder._runner.set_instances(1, ())
         route = build_fan_out(shard_count=1, least_share=1.0)
         records = [build_record(f"only.{number}", "shard-0") for number in range(60)]
         harness.handle(build_news(build_configuration(route), *records))
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_upstream_chooser.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_upstream_chooser.py
@@ -21,7 +21,7 @@
         settings = build_settings()
         self.ways = DataCentreWays(settings)
         self.chooser = UpstreamChooser(settings, self.fleet, self.ways, Random(3))
-        self.chooser.set_instances(7)
+        self.chooser.set_instances(7, ())
 
     def add(self, *names: str, **changes) -> None:
         for name in names:
--- a/packages/geraniumlead/tests/core_tests/routing/test_router.py
+++ b/packages/geraniumlead/tests/core_tests/routing/test_router.py
@@ -10,8 +10,9 @@
 from geraniumlead.configuration import ClusterView, PlacedUpstream
 from geraniumlead.dispatch import Dispatcher
 from geraniumlead.documents import DataCentreDocument
+from geraniumlead.hashing import rank_by_rendezvous
 from geraniumlead.membership import Membership
-from geraniumlead.ownership import OwnerTable, rank_by_rendezvous
+from geraniumlead.ownership import OwnerTable
 from geraniumlead.peers import Heartbeat
 from geraniumlead.routing import Router
 from geraniumlead.routing.router import BUSY_IN_FLIGHT
