Add the command trace: one request's story from the logs of all instances

Change: geraniumlead trace ID FILE... joins the lines by id in the order of time, adds what was last learnt of each upstream and its age, and says how many lines it skipped.

--- a/packages/geraniumlead-client/src/geraniumlead_client/commands/__init__.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/commands/__init__.py
@@ -8,6 +8,7 @@
 from geraniumlead_client.commands.load import LoadCommand
 from geraniumlead_client.commands.schema import SchemaCommand
 from geraniumlead_client.commands.status import StatusCommand
+from geraniumlead_client.commands.trace import TraceCommand
 
 COMMANDS = (
     CheckCommand(),
@@ -15,6 +16,7 @@
     StatusCommand(),
     ContractsCommand(),
     ExplainCommand(),
+    TraceCommand(),
     DataCentreCommand(),
     InstanceCommand(),
     LoadCommand(),
