--- a/packages/geraniumlead-client/src/geraniumlead_client/request_story.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/request_story.py
@@ -89,9 +89,7 @@
             inputs = self._belief_before(line.instance, upstream, line.time)
             at = _shift(arrived, step.get("at_ms", 0.0))
             what = step.get("what", "")
-            found.append(
-                StoryStep(at, line.instance, what, step.get("service"), upstream, inputs)
-            )
+            found.append(StoryStep(at, line.instance, what, step.get("service"), upstream, inputs))
         inputs = {name: fields[name] for name in OUTCOME_FIELDS if name in fields}
         found.append(StoryStep(line.time, line.instance, "ended", inputs=inputs))
         return found
