--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
@@ -60,7 +60,7 @@
 
 
 class Delegations:
-    """Choose peers for shards that have no upstream in the own region.
+    """Choose peers for shards that go to another region.
 
     Load pattern: an index over many shards, each with upstreams in some regions only. Every
     query crosses the regions once for each shard that is elsewhere, there and back, and the
@@ -89,26 +89,23 @@
         self._next = 0
 
     def find_peer(
-        self, opened: OpenRequest, services: Sequence[str], now_ms: float
-    ) -> KnownPeer | None:
-        """Return the peer that should ask the shards; None to ask them from here."""
-        if len(services) < LEAST_LEGS or opened.request.is_delegated:
-            return None
-        regions = self._regions_of(services, opened.route)
-        goal_left_ms = opened.goal_ms - now_ms
-        peers = [
-            peer
-            for peer in self._directory.peers.values()
-            if self._directory.is_reached(peer, now_ms)
-            and self._settings.regions.get(peer.contact.data_centre) in regions
-            and peer.is_ready
-            and peer.version >= opened.configuration.version
-            and peer.open_delegations < MOST_OPEN
-            and self._is_near_enough(peer, goal_left_ms)
-        ]
-        if not peers:
+        self, opened: OpenRequest, legs: Sequence[Leg], now_ms: float
+    ) -> tuple[KnownPeer, list[Leg]] | None:
+        """Return the peer that should ask shards, and which; None to ask all from here.
+
+        Shards that are elsewhere may be in several regions: most of them go to one peer.
+        """
+        if len(legs) < LEAST_LEGS or opened.request.is_delegated:
             return None
-        return min(peers, key=lambda peer: (peer.open_delegations, self._random.random()))
+        groups = self._group_by_region(legs, opened.route)
+        sizes = {len(group) for group in groups.values() if len(group) >= LEAST_LEGS}
+        for size in sorted(sizes, reverse=True):
+            regions = [region for region, group in groups.items() if len(group) == size]
+            peers = [peer for region in regions for peer in self._peers_in(region, opened, now_ms)]
+            if peers:
+                peer = min(peers, key=self._load_of)
+                return peer, groups[self._settings.regions[peer.contact.data_centre]]
+        return None
 
     def start(
         self, opened: OpenRequest, legs: list[Leg], peer: KnownPeer, now_ms: float
@@ -213,18 +210,38 @@
         message = DelegationCancelled(delegation.number)
         return PeerLetter(contact.instance_id, contact.address, message)
 
-    def _regions_of(self, services: Sequence[str], route: Route) -> set[str | None]:
-        """Return the other regions where every one of the shards has an upstream."""
-        found: set[str | None] | None = None
-        for service in services:
-            regions = {
-                self._settings.regions.get(record.data_centre)
-                for record in self._fleet.usable(service)
-            }
-            found = regions if found is None else found & regions
-            if not found:
-                return set()
-        found = found or set()
+    def _load_of(self, peer: KnownPeer) -> tuple[int, float]:
+        return peer.open_delegations, self._random.random()
+
+    def _peers_in(self, region: str, opened: OpenRequest, now_ms: float) -> list[KnownPeer]:
+        """Return the peers of a region that may be asked now."""
+        goal_left_ms = opened.goal_ms - now_ms
+        return [
+            peer
+            for peer in self._directory.peers.values()
+            if self._settings.regions.get(peer.contact.data_centre) == region
+            and self._directory.is_reached(peer, now_ms)
+            and peer.is_ready
+            and peer.version >= opened.configuration.version
+            and peer.open_delegations < MOST_OPEN
+            and self._is_near_enough(peer, goal_left_ms)
+        ]
+
+    def _group_by_region(self, legs: Sequence[Leg], route: Route) -> dict[str, list[Leg]]:
+        """Return the shards that have an upstream in each of the other regions."""
+        groups: dict[str, list[Leg]] = {}
+        for leg in legs:
+            for region in sorted(self._regions_of(leg.service, route)):
+                groups.setdefault(region, []).append(leg)
+        return groups
+
+    def _regions_of(self, service: str, route: Route) -> set[str]:
+        """Return the other regions where a service has an upstream that may be used."""
+        found = {
+            region
+            for record in self._fleet.usable(service)
+            if (region := self._settings.regions.get(record.data_centre)) is not None
+        }
         if route.allowed_regions:
             found &= route.allowed_regions
         return found - {self._settings.region}
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
@@ -57,22 +57,22 @@
             case DelegatedRequest():
                 self._serve(sender_id, message, now_ms, is_ready)
             case DelegationTaken(number=number):
-                self._runner.delegations.note_taken(number)
+                self._runner.delegated.delegations.note_taken(number)
             case DelegatedReply(number=number):
-                delegation = self._runner.delegations.take_reply(number, message.is_final)
+                delegation = self._runner.delegated.delegations.take_reply(number, message.is_final)
                 if delegation is not None:
                     self._runner.take_delegated(delegation, message, now_ms)
             case CrashNotice(fingerprint=fingerprint, upstream_ids=upstream_ids):
                 self._runner.crashes.hear(fingerprint, upstream_ids, now_ms)
             case DelegationCancelled(number=number):
-                key = self._runner.desk.take_key(sender_id, number)
+                key = self._runner.delegated.desk.take_key(sender_id, number)
                 if key is not None:
                     self._runner.drop(key, now_ms)
 
     def wake(self, now_ms: float, is_ready: bool) -> None:
         """Say hello where it is due, and ask what peers did not take."""
         self._actions += self.directory.take_letters(self._version(), is_ready, now_ms)
-        for delegation, letter in self._runner.delegations.take_overdue(now_ms):
+        for delegation, letter in self._runner.delegated.delegations.take_overdue(now_ms):
             self._actions.append(letter)
             peer_id = delegation.peer.contact.instance_id
             request_id = delegation.opened.request.request_id
@@ -90,7 +90,7 @@
 
     def next_wake_ms(self) -> float:
         """Return when ``wake`` has something to do."""
-        return min(self.directory.next_wake_ms(), self._runner.delegations.next_wake_ms())
+        return min(self.directory.next_wake_ms(), self._runner.delegated.delegations.next_wake_ms())
 
     def say_farewell(self, now_ms: float) -> None:
         """Tell peers that no new work is taken."""
@@ -113,7 +113,7 @@
             self._actions.append(PeerReply(sender_id, declined))
             return
         self._actions.append(PeerReply(sender_id, DelegationTaken(message.number)))
-        request = self._runner.desk.accept(sender_id, message, now_ms)
+        request = self._runner.delegated.desk.accept(sender_id, message, now_ms)
         self._runner.start(request, route, configuration, now_ms)
 
     def _count_instances(self, now_ms: float) -> None:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -1,15 +1,15 @@
 """Run requests: send, send again, and end each with one reply."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from heapq import heappop, heappush
 from random import Random
 
-from geraniumlead.fleet import FleetView, UpstreamRecord
-from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, PeerReply, SendReply
+from geraniumlead.fleet import FleetView
+from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, SendReply
 from geraniumlead.forwarding.attempt_book import AttemptBook
 from geraniumlead.forwarding.closing import UNAVAILABLE, decide_reply
 from geraniumlead.forwarding.crash_book import QUARANTINE_MS, CrashBook
-from geraniumlead.forwarding.delegate_desk import DelegateDesk
+from geraniumlead.forwarding.delegated_legs import DelegatedLegs
 from geraniumlead.forwarding.delegations import Delegation, Delegations
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.leg_sender import LegSender
@@ -19,7 +19,6 @@
 from geraniumlead.forwarding.request_services import RequestServices
 from geraniumlead.forwarding.results import (
     AttemptResult,
-    Completed,
 )
 from geraniumlead.forwarding.retry_after import RetryAfter
 from geraniumlead.forwarding.waiting_legs import LONGEST_WAIT_GOAL_SHARE
@@ -51,8 +50,7 @@
         "_services",
         "_wakes",
         "crashes",
-        "delegations",
-        "desk",
+        "delegated",
     )
 
     def __init__(
@@ -64,13 +62,13 @@
         actions: list[ForwardingAction],
         directory: PeerDirectory,
     ) -> None:
-        self.delegations = Delegations(settings, fleet, directory, random)
-        self.desk = DelegateDesk()
         self._retry_after = retry_after
         self._actions = actions
         self._book = AttemptBook(settings, fleet, random, actions)
         self.crashes = CrashBook()
         self._legs = LegSender(self._book, self.crashes)
+        delegations = Delegations(settings, fleet, directory, random)
+        self.delegated = DelegatedLegs(delegations, self._legs, self._book.chooser, actions)
         self._open: dict[int, OpenRequest] = {}
         self._wakes: list[tuple[float, int]] = []
         self._services = RequestServices(random)
@@ -117,7 +115,7 @@
             # Known before anything is sent, so this refusal is true and early.
             self._finish(opened, "no_upstream", now_ms)
             return
-        chosen = self._delegate(opened, chosen, now_ms)
+        chosen = self.delegated.pass_on(opened, chosen, now_ms)
         self._legs.note_first(opened, now_ms)
         for leg, upstream in chosen:
             self._book.send(leg, upstream, now_ms)
@@ -140,40 +138,14 @@
 
     def take_delegated(self, delegation: Delegation, reply: DelegatedReply, now_ms: float) -> None:
         """Take in what a peer brought for the shards that it was asked to ask."""
-        opened = delegation.opened
-        signatures = dict(reply.signatures)
-        records = reply.records
-        for leg in delegation.legs:
-            signature = signatures.get(leg.service)
-            if signature is not None and not leg.is_settled:
-                # The records are those of all the peer's shards; they are merged once.
-                opened.settle_answered(leg, Completed(OK, (), records, signature))
-                records = b""
-        if reply.is_final:
-            why = "declined" if reply.is_declined else "missing at the peer"
-            tried = dict(reply.tried)
-            self._ask_from_here(delegation, tried, why, now_ms)
-        self._go_on(opened, now_ms)
+        self.delegated.take_reply(delegation, reply, now_ms)
+        self._go_on(delegation.opened, now_ms)
 
     def take_back(self, delegation: Delegation, why: str, now_ms: float) -> None:
         """Ask the shards from here of which a peer said nothing."""
-        # It may have sent each of them once, and only its word is late or lost.
-        tried = {leg.service: (None,) for leg in delegation.legs}
-        self._ask_from_here(delegation, tried, why, now_ms)
+        self.delegated.take_back(delegation, why, now_ms)
         self._go_on(delegation.opened, now_ms)
 
-    def _ask_from_here(
-        self,
-        delegation: Delegation,
-        tried: Mapping[str, Sequence[str | None]],
-        why: str,
-        now_ms: float,
-    ) -> None:
-        missing = [leg for leg in delegation.legs if not leg.is_settled]
-        for leg in missing:
-            self._legs.note_tried(leg, tried.get(leg.service, ()))
-        self._legs.ask_again(delegation.opened, missing, why, now_ms)
-
     def finish_attempt(self, attempt_id: int, result: AttemptResult, now_ms: float) -> None:
         """Take in the end of an attempt; one that nobody waits for is dropped."""
         attempt = self._book.take(attempt_id, result, now_ms)
@@ -219,23 +191,6 @@
         for opened in self._legs.send_waiting(service, now_ms):
             self._arm(opened, now_ms)
 
-    def _delegate(
-        self, opened: OpenRequest, chosen: list[tuple[Leg, UpstreamRecord]], now_ms: float
-    ) -> list[tuple[Leg, UpstreamRecord]]:
-        """Pass the shards that are only elsewhere to a peer; return the others."""
-        if not opened.is_fan_out:
-            return chosen
-        far = [leg for leg, _ in chosen if not self._book.chooser.has_near(leg.service)]
-        services = [leg.service for leg in far]
-        peer = self.delegations.find_peer(opened, services, now_ms)
-        if peer is None:
-            return chosen
-        for leg in far:
-            leg.may_have_run = True
-            leg.is_delegated = True
-        self._actions.append(self.delegations.start(opened, far, peer, now_ms))
-        return [(leg, upstream) for leg, upstream in chosen if not leg.is_delegated]
-
     def _check(self, opened: OpenRequest, now_ms: float) -> None:
         """End a request whose time is over, and repeat what is late."""
         if now_ms >= opened.end_ms:
@@ -278,7 +233,7 @@
             return True
         is_over_goal = opened.is_fan_out and now_ms >= opened.goal_ms
         if is_over_goal and opened.request.is_delegated and opened.settled < len(opened.legs):
-            self._report(opened)
+            self.delegated.report(opened)
             return False
         if opened.settled == len(opened.legs) or (is_over_goal and opened.has_enough):
             self._finish(opened, "answered" if opened.has_enough else opened.first_failure, now_ms)
@@ -288,18 +243,6 @@
             return True
         return False
 
-    def _report(self, opened: OpenRequest) -> None:
-        """Bring a peer what is in at its goal, and go on with the rest.
-
-        Failure: with too few shards at the goal the peer needs some of the late ones. Given
-        up here they would be asked again, from afar, and begin anew at an upstream that may
-        be about to answer.
-        """
-        if not opened.is_reported:
-            opened.is_reported = True
-            sender_id, message = self.desk.report(opened)
-            self._actions.append(PeerReply(sender_id, message))
-
     def _finish(self, opened: OpenRequest, reason: str, now_ms: float) -> None:
         del self._open[opened.request.key]
         # What is still out at the end may have run, so it is no longer "not run".
@@ -307,8 +250,7 @@
             leg.may_have_run = leg.may_have_run or bool(leg.open_attempts)
         self._cancel_all(opened, now_ms)
         if opened.request.is_delegated:
-            sender_id, message = self.desk.take_reply(opened)
-            self._actions.append(PeerReply(sender_id, message))
+            sender_id = self.delegated.reply(opened)
             self._log(opened, f"for {sender_id}", None, now_ms)
             return
         if self.crashes and not opened.answered:
@@ -320,9 +262,7 @@
     def _cancel_all(self, opened: OpenRequest, now_ms: float) -> None:
         for service in self._legs.cancel(opened, now_ms):
             self._send_waiting(service, now_ms)
-        letter = self.delegations.cancel(opened)
-        if letter is not None:
-            self._actions.append(letter)
+        self.delegated.cancel(opened)
 
     def _log(self, opened: OpenRequest, reason: str, reply, now_ms: float) -> None:
         fields, level = describe_request(opened, reason, reply, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/upstream_chooser.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/upstream_chooser.py
@@ -84,11 +84,7 @@
 
     def has_near(self, service: str) -> bool:
         """Return whether a service has a usable upstream in the own region."""
-        regions = self._settings.regions
-        return any(
-            regions.get(record.data_centre) == self._settings.region
-            for record in self._fleet.usable(service)
-        )
+        return any(self._is_near(record) for record in self._fleet.usable(service))
 
     def second_way_ms(self, service: str, first: UpstreamRecord, first_way_ms: float) -> float:
         """Return the way to the nearest of the other upstreams of a service."""
@@ -153,10 +149,13 @@
         expected_ms += FAILURE_COST_MS * estimate.failure_share_at(now_ms)
         expected_ms *= 1.0 + JITTER_SHARE * self._random.random()
         expected_ms += self._ways.way_ms(record.data_centre)
-        if self._settings.regions.get(record.data_centre) != self._settings.region:
+        if not self._is_near(record):
             expected_ms += REGION_HANDICAP_MS
         return expected_ms
 
+    def _is_near(self, record: UpstreamRecord) -> bool:
+        return self._settings.regions.get(record.data_centre) == self._settings.region
+
     def _connection_share(self, service: UpstreamService) -> int:
         return max(LEAST_CONNECTIONS, service.most_connections // self._instances)
 
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_delegation.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_delegation.py
@@ -78,6 +78,25 @@
         self.assertEqual(3 * HIGH, reply.records)
         self.assertEqual(0, reply.missing)
 
+    def test_shards_without_a_common_region_still_go_with_one_message_for_most(self):
+        """Four shards are in one other region only, and one in a third region.
+
+        With a peer sought for all five none fits, and each would cross the regions by itself.
+        """
+        route = build_fan_out(shard_count=5)
+        places = ["zuid-a", *["midden-a"] * 4]
+        records = [
+            build_record(f"only.{name}", name, data_centre=place)
+            for name, place in zip(route.services(), places, strict=True)
+        ]
+        for harness in (self.near, self.far):
+            harness.handle(build_news(build_configuration(route, version=2), *records))
+        self.run_both_until(self.near.now_ms + 1_500.0)
+        (attempt,) = self.near.ask()
+        self.assertEqual("only.shard-0", attempt.upstream.upstream_id)
+        (letter,) = self.find_letters(self.near, DelegatedRequest)
+        self.assertEqual(route.services()[1:], letter.message.shards)
+
     def test_a_part_earns_second_sendings_once_in_the_whole_fleet(self):
         """A peer asks the shards of an instance, and both keep a budget of second sendings.
 
