--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -17,20 +17,14 @@
 from geraniumlead.forwarding.replies import OwnReply
 from geraniumlead.forwarding.request_line import describe_request
 from geraniumlead.forwarding.request_services import RequestServices
-from geraniumlead.forwarding.results import (
-    AttemptResult,
-)
+from geraniumlead.forwarding.results import AttemptResult
 from geraniumlead.forwarding.retry_after import RetryAfter
 from geraniumlead.forwarding.waiting_legs import LONGEST_WAIT_GOAL_SHARE
 from geraniumlead.peering import DelegatedReply, PeerDirectory
-from geraniumlead.routes import (
-    PublishedConfiguration,
-    Route,
-)
+from geraniumlead.routes import PublishedConfiguration, Route
 from geraniumlead.settings.forwarding_settings import ForwardingSettings
 
 NEVER_MS = float("inf")
-OK = 200
 
 
 class RequestRunner:
