--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -31,6 +31,9 @@
 
 PATIENCE_SPREAD = 0.25
 
+LEAST_WAIT_S = 0.001
+"""A shorter wait may end at the time at which it began, for ever where time is virtual."""
+
 FIRST_READ_PAUSE_S = 0.5
 """Longest pause between tries before the first reading: until then callers are refused, and
 after an outage that ends while all instances start, each tenth of a second counts."""
@@ -130,7 +133,7 @@
         while not self._has_more:
             left_s = self._heard_s + patience_s - self._loop.time()
             is_on_duty = self._duty.is_watcher() and not self._has_failed
-            if is_on_duty or left_s <= 0.0:
+            if is_on_duty or left_s < LEAST_WAIT_S:
                 return
             try:
                 await asyncio.wait_for(self._is_due.wait(), left_s)
--- /dev/null
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/reading_fleet.py
@@ -0,0 +1,204 @@
+"""Build instances that follow one store in virtual time, and measure the age of their views."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from itertools import count
+from random import Random
+
+import async_solipsism
+
+from geraniumlead.forwarding import PublishedNews, StoreLost, UpstreamSeen
+from geraniumlead.peering import StoreNews, decode_peering, encode_peering
+from geraniumlead_server.store_duty import StoreDuty
+from geraniumlead_server.store_follower import StoreFollower
+from geraniumlead_standins.forwarding import StoreContents, StubUpstream, VirtualStoreClient
+
+PAGE_ITEMS = 500
+HEARTBEAT_S = 1.2
+MARK_PAUSE_S = 0.1
+LOOK_PAUSE_S = 0.05
+WAY_S = 0.02
+MARKER = "marker"
+CONFIGURATION_PAUSE_S = 0.4
+LARGE_ROUTES = [
+    {
+        "name": f"r-{number}",
+        "hostname": "h.example",
+        "prefix": f"/{number}/",
+        "type": "safe",
+        "timeoutMs": 1000,
+        "maxAttempts": 2,
+        "service": "reader",
+    }
+    for number in range(3_300)
+]
+
+
+def run_in_virtual_time(work: Coroutine) -> None:
+    """Run to its end what sleeps and waits, without waiting."""
+    with asyncio.Runner(loop_factory=async_solipsism.EventLoop) as runner:
+        runner.run(work)
+
+
+class MarkedStore:
+    """Hold a store in which upstreams write heartbeats, and one entry changes all the time.
+
+    The changes of the one are numbered, and it is known when each was made: an instance that
+    has not heard of number n is as old as n.
+    """
+
+    def __init__(self, upstream_count: int) -> None:
+        self.contents = StoreContents(PAGE_ITEMS)
+        self._upstream_count = upstream_count
+        self._marked_s: list[float] = []
+        self._entry = StubUpstream("x").entry("reader") | {"addr": "10.0.0.1:80"}
+        self._tasks: list[asyncio.Task] = []
+        self.grow(upstream_count)
+
+    def grow(self, upstream_count: int) -> None:
+        """Let there be more upstreams."""
+        self._upstream_count = upstream_count
+        for number in range(upstream_count):
+            self._beat(number, 0)
+
+    def start(self) -> None:
+        """Let upstreams write from now on."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(self._write_heartbeats()), loop.create_task(self._mark())]
+
+    def put_upstream(self, name: str, **changes) -> None:
+        """Write an upstream's entry."""
+        self.contents.put(f"servers/{name}", self._entry | changes)
+
+    async def write_large_configurations(self) -> None:
+        """Publish a configuration of some 400 KB again and again."""
+        for version in count(1):
+            body = {"version": version, "routes": LARGE_ROUTES, "services": []}
+            self.contents.put("op/config", body)
+            await asyncio.sleep(CONFIGURATION_PAUSE_S)
+
+    def age_s(self, mark: int | None, now_s: float) -> float:
+        """Return the age of a view that has seen a mark, or none."""
+        following = 0 if mark is None else mark + 1
+        if following >= len(self._marked_s):
+            return 0.0
+        return now_s - self._marked_s[following]
+
+    def _beat(self, number: int, seq: int) -> None:
+        self.put_upstream(f"i-{number}", seq=seq)
+
+    async def _write_heartbeats(self) -> None:
+        seq = 1
+        while True:
+            for number in range(self._upstream_count):
+                self._beat(number, seq)
+                await asyncio.sleep(HEARTBEAT_S / self._upstream_count)
+            seq += 1
+
+    async def _mark(self) -> None:
+        while True:
+            self.put_upstream(MARKER, slots=len(self._marked_s) + 1)
+            self._marked_s.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(MARK_PAUSE_S)
+
+
+class ReadingInstance:
+    """Follow a marked store alone, and remember the newest mark."""
+
+    def __init__(
+        self, store: MarkedStore, bound_ms: float, seed: int, duty: StoreDuty | None = None
+    ) -> None:
+        self._store = store
+        self.client = VirtualStoreClient(store.contents, WAY_S)
+        self.mark: int | None = None
+        self.known: dict[str, UpstreamSeen] = {}
+        self.follower = StoreFollower(self.client, bound_ms, self._take, Random(seed), duty)
+        self._unread: list[Callable[[], None]] = []
+
+    @property
+    def age_s(self) -> float:
+        """Return how old the view is now."""
+        return self._store.age_s(self.mark, asyncio.get_running_loop().time())
+
+    async def freeze(self, seconds: float) -> None:
+        """Stand still: what arrives meanwhile is read afterwards."""
+        self.client.is_running.clear()
+        await asyncio.sleep(seconds)
+        self.client.is_running.set()
+        for read in self._unread:
+            read()
+        self._unread.clear()
+
+    def when_running(self, read: Callable[[], None]) -> None:
+        """Read a message now, or after the freeze."""
+        if self.client.is_running.is_set():
+            read()
+        else:
+            self._unread.append(read)
+
+    def _take(self, event: PublishedNews | StoreLost) -> None:
+        if isinstance(event, StoreLost):
+            return
+        for item in event.news:
+            if isinstance(item, UpstreamSeen):
+                self.known[item.record.upstream_id] = item
+        marked = self.known.get(MARKER)
+        self.mark = None if marked is None else marked.record.slots - 1
+
+
+async def oldest_age_s(members: list[ReadingInstance], seconds: float) -> float:
+    """Let time pass; return how old the oldest view was at the worst."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + seconds
+    oldest_s = 0.0
+    while loop.time() < end_s:
+        await asyncio.sleep(LOOK_PAUSE_S)
+        oldest_s = max([oldest_s, *(member.age_s for member in members)])
+    return oldest_s
+
+
+class ReadingFleet:
+    """Let the instances of one data centre read a store for each other.
+
+    ``delays_s`` is how long what an instance tells takes to its peers; ``is_lost`` says of a
+    sender and a receiver whether messages between them are lost.
+    """
+
+    def __init__(self, store: MarkedStore, bound_ms: float, count: int, seed: int) -> None:
+        self.store = store
+        self.watchers = {0, 1}
+        self.delays_s = [WAY_S] * count
+        self.lost: set[tuple[int, int]] = set()
+        self.members = [
+            ReadingInstance(store, bound_ms, seed * count + number, self._duty(number))
+            for number in range(count)
+        ]
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Let all follow the store."""
+        for member in self.members:
+            self._tasks.append(asyncio.create_task(member.follower.run()))
+
+    def stop(self) -> None:
+        """Let all end."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _duty(self, number: int) -> StoreDuty:
+        return StoreDuty(
+            is_watcher=lambda: number in self.watchers,
+            has_readers=lambda: True,
+            relay=lambda news: self._relay(number, news),
+        )
+
+    def _relay(self, sender: int, news: StoreNews) -> None:
+        data = encode_peering(news)
+        loop = asyncio.get_running_loop()
+        for receiver in range(len(self.members)):
+            if receiver != sender and (sender, receiver) not in self.lost:
+                loop.call_later(self.delays_s[sender], self._deliver, receiver, data)
+
+    def _deliver(self, receiver: int, data: bytes) -> None:
+        member = self.members[receiver]
+        member.when_running(lambda: member.follower.take_relayed(decode_peering(data)))
--- /dev/null
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_large_fleet_reading.py
@@ -0,0 +1,143 @@
+"""Test in virtual time how old the view of an instance gets."""
+
+import asyncio
+from unittest import TestCase
+
+from geraniumlead_standins.forwarding import StoreDoor
+from server_tests.forwarding.reading_fleet import (
+    MarkedStore,
+    ReadingFleet,
+    ReadingInstance,
+    oldest_age_s,
+    run_in_virtual_time,
+)
+
+BOUND_MS = 5_000.0
+BOUND_S = BOUND_MS / 1000.0
+FIRST_UPSTREAMS = 282
+ALL_UPSTREAMS = 687
+INSTANCES = 14
+SEEDS = range(1, 9)
+START_S = 8.0
+
+
+class HeartbeatLoadTests(TestCase):
+    """The store is sound all the while."""
+
+    def test_views_stay_fresh_when_heartbeats_are_more_than_one_reply_holds(self):
+        """Guards against routes and leaving upstreams of six seconds ago, with a sound store."""
+        run_in_virtual_time(self._follow_a_growing_index())
+
+    async def _follow_a_growing_index(self) -> None:
+        store = MarkedStore(FIRST_UPSTREAMS)
+        store.start()
+        instance = ReadingInstance(store, BOUND_MS, seed=1)
+        task = asyncio.create_task(instance.follower.run())
+        before_s = await oldest_age_s([instance], 10.0)
+        store.grow(ALL_UPSTREAMS)
+        beside_s = await oldest_age_s([instance], 20.0)
+        task.cancel()
+        self.assertLess(before_s, BOUND_S)
+        self.assertLess(beside_s, BOUND_S)
+
+
+class DataCentreTests(TestCase):
+    """The instances of one data centre read the store for each other."""
+
+    def run_each_seed(self, play) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                run_in_virtual_time(self._play(play, seed))
+
+    async def _play(self, play, seed: int) -> None:
+        store = MarkedStore(ALL_UPSTREAMS)
+        store.start()
+        fleet = ReadingFleet(store, BOUND_MS, INSTANCES, seed)
+        fleet.start()
+        await asyncio.sleep(START_S)
+        await play(fleet)
+        fleet.stop()
+
+    def test_views_stay_fresh_when_both_watchers_die(self):
+        """Guards against readers that go on waiting for watchers that are gone."""
+        self.run_each_seed(self._lose_watchers)
+
+    async def _lose_watchers(self, fleet: ReadingFleet) -> None:
+        for watcher in fleet.members[:2]:
+            watcher.client.is_running.clear()
+        self.assertLess(await oldest_age_s(fleet.members[2:], 15.0), BOUND_S)
+
+    def test_who_is_turned_away_lives_on_what_peers_tell(self):
+        """Guards against an instance that follows old routes for as long as it is turned away."""
+        self.run_each_seed(self._turn_watchers_away)
+
+    async def _turn_watchers_away(self, fleet: ReadingFleet) -> None:
+        for watcher in fleet.members[:2]:
+            watcher.client.door = StoreDoor.REFUSING
+        self.assertLess(await oldest_age_s(fleet.members, 12.0), BOUND_S)
+        for watcher in fleet.members[:2]:
+            watcher.client.door = StoreDoor.OPEN
+        self.assertLess(await oldest_age_s(fleet.members, 6.0), BOUND_S)
+
+    def test_who_wakes_is_up_to_date_within_the_bound(self):
+        """Guards against an instance that acts on its view of before a freeze."""
+        self.run_each_seed(self._freeze_watchers)
+
+    async def _freeze_watchers(self, fleet: ReadingFleet) -> None:
+        frozen = fleet.members[:2]
+        freezes = [asyncio.create_task(member.freeze(10.0)) for member in frozen]
+        self.assertLess(await oldest_age_s(fleet.members[2:], 10.0), BOUND_S)
+        await asyncio.gather(*freezes)
+        await asyncio.sleep(1.0)
+        self.assertLess(await oldest_age_s(fleet.members, 6.0), BOUND_S)
+
+    def test_views_stay_fresh_when_what_watchers_tell_comes_late(self):
+        """Guards against readers that take late news for new ones, and wait once more."""
+        self.run_each_seed(self._delay_what_is_told)
+
+    async def _delay_what_is_told(self, fleet: ReadingFleet) -> None:
+        fleet.members[0].client.is_running.clear()
+        for delay_s in (1.0, 2.0, 2.7):
+            fleet.delays_s[1] = delay_s
+            self.assertLess(await oldest_age_s(fleet.members[2:], 10.0), BOUND_S)
+
+
+class LoneInstanceTests(TestCase):
+    """One instance reads the store for itself, as those of small data centres do."""
+
+    def test_what_stands_in_the_store_is_known_within_the_bound_of_its_return(self):
+        """Guards against an instance that still waits for a lost answer, or pauses for too long."""
+        for bound_ms in (2_000.0, 3_000.0, 4_000.0, 5_000.0):
+            for door in (StoreDoor.REFUSING, StoreDoor.SILENT):
+                for half_seconds in range(1, 26):
+                    away_s = half_seconds / 2.0
+                    with self.subTest(bound_ms=bound_ms, door=door, away_s=away_s):
+                        run_in_virtual_time(self._return_after(bound_ms, door, away_s))
+
+    async def _return_after(self, bound_ms: float, door: StoreDoor, away_s: float) -> None:
+        store = MarkedStore(upstream_count=20)
+        store.start()
+        instance = ReadingInstance(store, bound_ms, seed=int(away_s * 2.0))
+        task = asyncio.create_task(instance.follower.run())
+        await asyncio.sleep(6.0 + away_s * 0.13)
+        instance.client.door = door
+        await asyncio.sleep(away_s)
+        instance.client.door = StoreDoor.OPEN
+        await asyncio.sleep(bound_ms / 1000.0)
+        task.cancel()
+        self.assertLess(instance.age_s, bound_ms / 1000.0)
+
+    def test_configurations_in_quick_succession_are_in_force_within_the_bound(self):
+        """Guards against a cut reply that is taken for whole, since only its size shows the cut."""
+        run_in_virtual_time(self._follow_large_configurations())
+
+    async def _follow_large_configurations(self) -> None:
+        store = MarkedStore(upstream_count=20)
+        store.start()
+        instance = ReadingInstance(store, BOUND_MS, seed=1)
+        task = asyncio.create_task(instance.follower.run())
+        await asyncio.sleep(6.0)
+        writing = asyncio.create_task(store.write_large_configurations())
+        self.assertLess(await oldest_age_s([instance], 20.0), BOUND_S)
+        writing.cancel()
+        task.cancel()
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_store_follower.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_store_follower.py
@@ -90,7 +90,7 @@
         would ask hundreds of times a second, and all pay for it and slow the store down.
         """
         await self.wait_for(self.snapshots)
-        self.store.oldest = 10**9
+        self.store.contents.oldest = 10**9
         await asyncio.sleep(0.3)
         before = self.store.calls
         await asyncio.sleep(2.0)
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/forwarding/__init__.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/forwarding/__init__.py
@@ -1,6 +1,15 @@
 """Stand in for the users' platform: its store and its upstreams."""
 
+from geraniumlead_standins.forwarding.store_contents import StoreContents
 from geraniumlead_standins.forwarding.stub_store import StubStore
 from geraniumlead_standins.forwarding.stub_upstream import StubUpstream, UpstreamFault
+from geraniumlead_standins.forwarding.virtual_store_client import StoreDoor, VirtualStoreClient
 
-__all__ = ["StubStore", "StubUpstream", "UpstreamFault"]
+__all__ = [
+    "StoreContents",
+    "StoreDoor",
+    "StubStore",
+    "StubUpstream",
+    "UpstreamFault",
+    "VirtualStoreClient",
+]
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/forwarding/virtual_store_client.py
@@ -0,0 +1,63 @@
+"""Read a store in the same process, in virtual time and with its failures."""
+
+import asyncio
+from enum import Enum
+
+from msgspec.json import Decoder, encode
+
+from geraniumlead_server.platform import HistoryGoneError, StoreClient, StoreError
+from geraniumlead_server.platform.names import RANGE_PATH
+from geraniumlead_standins.forwarding.store_contents import StoreContents
+
+
+class StoreDoor(Enum):
+    """Say how the store meets one instance."""
+
+    OPEN = "open"
+    REFUSING = "refusing"
+    SILENT = "silent"
+
+
+class VirtualStoreClient(StoreClient):
+    """Be the client of one instance: its calls reach the contents after the time of the way.
+
+    ``door`` says whether the store serves this instance, ``calls`` counts what it asked, and
+    while ``is_running`` is not set the instance stands still before it reads an answer.
+    """
+
+    def __init__(self, contents: StoreContents, way_s: float) -> None:
+        super().__init__("store.invalid:80")
+        self._contents = contents
+        self._way_s = way_s
+        self.door = StoreDoor.OPEN
+        self.calls = 0
+        self.is_running = asyncio.Event()
+        self.is_running.set()
+
+    async def _call(self, path: str, query: dict, timeout_s: float, decoder: Decoder):
+        self.calls += 1
+        await asyncio.sleep(self._way_s)
+        try:
+            answer = await asyncio.wait_for(self._answer(path, query, decoder), timeout_s)
+        except TimeoutError as error:
+            await self.is_running.wait()
+            raise StoreError("TimeoutError") from error
+        await self.is_running.wait()
+        return answer
+
+    async def _answer(self, path: str, query: dict, decoder: Decoder):
+        if self.door is StoreDoor.REFUSING:
+            raise StoreError("status 429")
+        if self.door is StoreDoor.SILENT:
+            await asyncio.Event().wait()
+        if path == RANGE_PATH:
+            body = self._contents.page(query["prefix"], query.get("after", ""))
+        else:
+            wait_s = int(query["waitMs"]) / 1000.0
+            body = await self._contents.changes(int(query["after"]), wait_s)
+        if body is None:
+            raise HistoryGoneError("the history is gone")
+        if self.door is StoreDoor.SILENT:
+            await asyncio.Event().wait()
+        await asyncio.sleep(self._way_s)
+        return decoder.decode(encode(body))
