Keep the last revision while the store turns an instance away, so that what peers tell still fits

What callers saw: an instance whose calls the store refused for two seconds or more went on by its old routes and upstreams until the store let it in, though its peers told it every change. Cause: after two seconds away, and when the history was gone, the follower dropped its revision before the reading of the state had succeeded; without one, whatever peers tell is thrown away.

The revision now stays, a reading of the state is only noted as needed, and news that fits makes it needless. What comes while the state is being read is left to the watch after it, and the client forgets what it knew only once the reading is whole.

--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
@@ -104,18 +104,18 @@
 
         The pages are no snapshot: what changes meanwhile is in the watch that follows.
         """
-        found: list[News] = []
+        items: list[ItemBody] = []
         first_revision = None
         after = ""
-        self._revisions.clear()
-        self._known.clear()
         while True:
             query = {"prefix": ALL_KEYS, "after": after} if after else {"prefix": ALL_KEYS}
             page = await self._call(RANGE_PATH, query, READ_TIMEOUT_S, _RANGE)
             first_revision = page.revision if first_revision is None else first_revision
-            found += self._read_items(page.items)[0]
+            items += page.items
             if not page.truncated or not page.items:
-                return tuple(found), first_revision
+                self._revisions.clear()
+                self._known.clear()
+                return tuple(self._read_items(items)[0]), first_revision
             after = page.items[-1].key
 
     async def watch(self, revision: int, wait_ms: int) -> StoreChanges:
--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -8,6 +8,7 @@
 from msgspec.structs import replace
 
 from geraniumlead.forwarding import PublishedNews, StoreLost
+from geraniumlead.forwarding.news import News
 from geraniumlead.peering import StoreNews
 from geraniumlead_server.backoff import Backoff
 from geraniumlead_server.platform import HistoryGoneError, StoreClient, StoreError
@@ -91,6 +92,8 @@
         self._is_history_short = False
         self._has_failed = False
         self._has_more = False
+        self._needs_state = True
+        self._is_reading_state = False
         self._is_told_of_outage = False
 
     async def run(self) -> None:
@@ -104,9 +107,12 @@
 
         Failure: a message of the watcher is lost, or this instance begins with an older state.
         What lies between is unknown then, so it counts as not heard.
+
+        Failure: the store turns this instance away, or has forgotten the history that it would
+        read. The last revision stays valid, so that what peers tell still fits to it.
         """
         revision = self._revision
-        if revision is None or relayed.to_revision < revision:
+        if revision is None or self._is_reading_state or relayed.to_revision < revision:
             return
         if relayed.from_revision > revision:
             self._is_told_of_outage = relayed.is_after_outage
@@ -120,6 +126,7 @@
         self._heard_s = self._loop.time()
         # The store may have turned only this instance away.
         self._lost_s = None
+        self._needs_state = False
         is_after_outage = relayed.is_after_outage
         self._report(PublishedNews(news, is_snapshot=False, is_after_outage=is_after_outage))
 
@@ -146,13 +153,13 @@
         asked_s = self._loop.time()
         self._is_due.clear()
         if self._lost_s is not None and asked_s - self._lost_s >= FAR_BEHIND_S:
-            self._revision = None
-        is_first = self._revision is None
+            self._needs_state = True
+        is_snapshot = self._needs_state
         self._has_more = False
         changes = None
         try:
-            if is_first:
-                news, self._revision = await self._client.read_all()
+            if is_snapshot:
+                news = await self._read_state()
             else:
                 part = TELLING_PART if self._duty.has_readers() else ALONE_WATCH_PART
                 changes = await self._client.watch(self._revision, int(self._bound_ms / part))
@@ -164,16 +171,26 @@
             return self._note_history_gone()
         except StoreError as error:
             return self._note_lost(error)
-        self._note_answered(is_first)
+        self._note_answered(is_snapshot)
         self._heard_s = self._loop.time()
         is_after_outage, self._is_told_of_outage = self._is_told_of_outage, False
-        self._report(PublishedNews(news, is_first, is_after_outage))
+        self._report(PublishedNews(news, is_snapshot, is_after_outage))
         if changes is not None:
             self._duty.relay(replace(changes.relayed, is_after_outage=self._has_returned()))
         if self._has_more:
             return 0.0
         return self._pause_after(self._loop.time() - asked_s)
 
+    async def _read_state(self) -> tuple[News, ...]:
+        """Read everything anew; what peers tell meanwhile is read in the watch that follows."""
+        self._is_reading_state = True
+        try:
+            news, self._revision = await self._client.read_all()
+        finally:
+            self._is_reading_state = False
+        self._needs_state = False
+        return news
+
     def _pause_after(self, waited_s: float) -> float:
         part = TELLING_PART if self._duty.has_readers() else PAUSE_PART
         pause_s = self._bound_ms / part / 1000.0
@@ -190,8 +207,8 @@
     def _has_returned(self) -> bool:
         return self._loop.time() - self._returned_s < RETURN_S
 
-    def _note_answered(self, is_first: bool) -> None:
-        if is_first or self._lost_s is not None:
+    def _note_answered(self, is_snapshot: bool) -> None:
+        if is_snapshot or self._lost_s is not None:
             self._returned_s = self._loop.time()
         self._lost_s = None
         self._has_failed = False
@@ -200,7 +217,7 @@
 
     def _note_history_gone(self) -> float:
         logger.info("history_gone", extra={"fields": {"revision": self._revision}})
-        self._revision = None
+        self._needs_state = True
         is_second = self._is_history_short
         self._is_history_short = True
         return self._backoff.next_pause_s() if is_second else 0.0
