Count the change that a cut reply left out, so that large configurations are followed at once

Cause: the store cuts a reply before the change that does not fit. A reply with one such configuration holds 530 KB in base64, was taken for whole below 700 KB, and a pause of a quarter of the bound followed each.

A reply counts as cut when it would not have held one more change as large as its largest; sizes are those in base64, as the store counts them. It costs one call more after a large configuration.

--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
@@ -32,7 +32,10 @@
 """Changes in one reply from which on there are more: the store cuts a reply at about 500 items."""
 
 FULL_REPLY_BYTES = 700_000
-"""The same by size: a reply is cut at about 1 MB."""
+"""The same by size in base64, counting one more change as large as the largest: a reply is cut at
+about 1 MB, before the change that does not fit."""
+
+BASE64_GROWTH = 4.0 / 3.0
 
 ALL_KEYS = ""
 """Prefix of every key. Read one by one, the two prefixes in use cost a start one more way to the
@@ -213,7 +216,13 @@
 
 
 def _is_full(events: list[ItemBody]) -> bool:
-    """Return whether the store has cut a reply to a watch, so that the rest has to be asked for."""
+    """Return whether the store may have cut a reply, so that the rest has to be asked for.
+
+    Failure: configurations of 400 KB come in quick succession, and one or two fill a reply. Only
+    what was left out shows the cut; with a pause after each reply the view fell behind by more
+    than its bound. The next configuration is about as large as the last.
+    """
     if len(events) >= FULL_REPLY_EVENTS:
         return True
-    return sum(len(event.value or b"") for event in events) >= FULL_REPLY_BYTES
+    sizes = [len(event.value or b"") * BASE64_GROWTH for event in events]
+    return sum(sizes) + max(sizes, default=0.0) >= FULL_REPLY_BYTES
