Take all times of reading the store from the bound, so that a lost answer still leaves it kept

What callers saw (in virtual time only): an instance that reads the store for itself acted on a view of before a silence for up to 4.0 s after the store answered again, with a bound of 3 s, and for longer with 2 s. Cause: a watch waited 1.5 parts of the bound and one second more, a page of the state two seconds, and the pause between tries grew to two seconds at any bound. A call that went out just before the return took them all. Refusals (429) kept the bound before as well.

ReadingPace derives every time from the shortest bound, so that the longest wait and pause together stay below it. Upstreams' heartbeats end a watch at once, so shorter waits cost no calls; shorter pauses cost some while the store is away.

--- a/packages/geraniumlead-server/src/geraniumlead_server/backoff.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/backoff.py
@@ -11,10 +11,11 @@
 class Backoff:
     """Double the pause after each failure, spread so that readers do not return together."""
 
-    __slots__ = ("_pause_s", "_random")
+    __slots__ = ("_longest_s", "_pause_s", "_random")
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, longest_s: float = LONGEST_PAUSE_S) -> None:
         self._random = random
+        self._longest_s = longest_s
         self._pause_s = FIRST_PAUSE_S
 
     def reset(self) -> None:
@@ -24,5 +25,5 @@
     def next_pause_s(self) -> float:
         """Return the time to wait before the next attempt."""
         pause_s = self._pause_s * (0.5 + self._random.random())
-        self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2)
-        return min(LONGEST_PAUSE_S, pause_s)
+        self._pause_s = min(self._longest_s, self._pause_s * 2)
+        return min(self._longest_s, pause_s)
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/__init__.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/__init__.py
@@ -7,13 +7,19 @@
 )
 from geraniumlead_server.platform.replies import reply_headers
 from geraniumlead_server.platform.requests import BadRequest, read_request
-from geraniumlead_server.platform.store_client import HistoryGoneError, StoreClient, StoreError
+from geraniumlead_server.platform.store_client import (
+    HistoryGoneError,
+    StoreChanges,
+    StoreClient,
+    StoreError,
+)
 
 __all__ = [
     "BALANCER_QUESTION",
     "REQUEST_ID_HEADER",
     "BadRequest",
     "HistoryGoneError",
+    "StoreChanges",
     "StoreClient",
     "StoreError",
     "attempt_headers",
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
@@ -18,12 +18,6 @@
 from geraniumlead_server.platform.store_records import Unreadable, read_item
 
 CONNECT_TIMEOUT_S = 0.5
-READ_TIMEOUT_S = 2.0
-"""A slow store takes some hundred times its usual 4 ms."""
-
-WATCH_SLACK_S = 1.0
-"""How much longer than it should a watch may take; its connection then counts as silent."""
-
 MOST_RELAYED_BYTES = 400_000
 """Size of a value up to which instances pass it on to each other, some 30 KB compressed: a larger
 configuration to ten others would fill a slow link for a second."""
@@ -102,9 +96,11 @@
         self._known: dict[str, News] = {}
         self._unreadable: set[tuple[str, str]] = set()
 
-    async def read_all(self) -> tuple[tuple[News, ...], int]:
+    async def read_all(self, timeout_ms: float) -> tuple[tuple[News, ...], int]:
         """Return everything that stands in the store, and the revision to watch from.
 
+        ``timeout_ms`` is for each page.
+
         The pages are no snapshot: what changes meanwhile is in the watch that follows.
         """
         items: list[ItemBody] = []
@@ -112,7 +108,7 @@
         after = ""
         while True:
             query = {"prefix": ALL_KEYS, "after": after} if after else {"prefix": ALL_KEYS}
-            page = await self._call(RANGE_PATH, query, READ_TIMEOUT_S, _RANGE)
+            page = await self._call(RANGE_PATH, query, timeout_ms / 1000.0, _RANGE)
             first_revision = page.revision if first_revision is None else first_revision
             items += page.items
             if not page.truncated or not page.items:
@@ -121,10 +117,13 @@
                 return tuple(self._read_items(items)[0]), first_revision
             after = page.items[-1].key
 
-    async def watch(self, revision: int, wait_ms: int) -> StoreChanges:
-        """Return what changed after a revision; raises HistoryGoneError when that is unknown."""
+    async def watch(self, revision: int, wait_ms: int, slack_ms: float) -> StoreChanges:
+        """Return what changed after a revision; raises HistoryGoneError when that is unknown.
+
+        ``slack_ms`` is how much longer than its wait the call may take.
+        """
         query = {"prefix": ALL_KEYS, "after": str(revision), "waitMs": str(wait_ms)}
-        timeout_s = wait_ms / 1000.0 + WATCH_SLACK_S
+        timeout_s = (wait_ms + slack_ms) / 1000.0
         found = await self._call(WATCH_PATH, query, timeout_s, _WATCH)
         news, changed = self._read_items(found.events)
         return StoreChanges(
--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -9,29 +9,16 @@
 
 from geraniumlead.forwarding import PublishedNews, StoreLost
 from geraniumlead.forwarding.news import News
-from geraniumlead.peering import StoreNews
+from geraniumlead.peering import PATIENCE_SPREAD, ReadingPace, StoreNews
 from geraniumlead_server.backoff import Backoff
-from geraniumlead_server.platform import HistoryGoneError, StoreClient, StoreError
+from geraniumlead_server.platform import (
+    HistoryGoneError,
+    StoreChanges,
+    StoreClient,
+    StoreError,
+)
 from geraniumlead_server.store_duty import StoreDuty
 
-ALONE_WATCH_PART = 1.5
-"""Parts of the shortest bound that a watch waits for a change. A connection that went silent is
-noticed soon after it."""
-
-TELLING_PART = 2.5
-"""Parts of the bound that one who tells others waits for a change, or gathers changes: there are
-two of them, who tell each other as well, so that everybody hears about twice as often."""
-
-PAUSE_PART = 4.0
-"""Parts of the shortest bound in which changes are gathered into one call: a change is known
-after a quarter of the bound, and one lost answer still leaves it kept."""
-
-PATIENCE_PART = 2.0
-"""Parts of the shortest bound that one who does not watch waits to hear from a watcher. What it
-then asks for itself is still known within the bound, also with PATIENCE_SPREAD of it added."""
-
-PATIENCE_SPREAD = 0.25
-
 LEAST_WAIT_S = 0.001
 """A shorter wait may end at the time at which it began, for ever where time is virtual."""
 
@@ -77,15 +64,14 @@
         duty: StoreDuty | None = None,
     ) -> None:
         self._client = client
-        self._bound_ms = bound_ms
+        self._pace = ReadingPace.from_bound(bound_ms)
         self._report = report
         self._random = random
         self._duty = duty or StoreDuty()
-        self._patience_s = bound_ms / PATIENCE_PART / 1000.0
         self._heard_s = float("-inf")
         self._is_due = asyncio.Event()
         self._loop = asyncio.get_running_loop()
-        self._backoff = Backoff(random)
+        self._backoff = Backoff(random, self._pace.longest_retry_ms / 1000.0)
         self._revision: int | None = None
         self._lost_s: float | None = None
         self._returned_s = float("-inf")
@@ -136,7 +122,8 @@
         The time is spread, so that one of those who hear nothing asks first; what it reads it
         passes on, and the others need not ask. A watcher that the store turns away waits, too.
         """
-        patience_s = self._patience_s * (1.0 + PATIENCE_SPREAD * self._random.random())
+        spread = 1.0 + PATIENCE_SPREAD * self._random.random()
+        patience_s = self._pace.patience_ms / 1000.0 * spread
         while not self._has_more:
             left_s = self._heard_s + patience_s - self._loop.time()
             is_on_duty = self._duty.is_watcher() and not self._has_failed
@@ -161,8 +148,7 @@
             if is_snapshot:
                 news = await self._read_state()
             else:
-                part = TELLING_PART if self._duty.has_readers() else ALONE_WATCH_PART
-                changes = await self._client.watch(self._revision, int(self._bound_ms / part))
+                changes = await self._watch()
                 news, self._has_more = changes.news, changes.has_more
                 # Meanwhile a watcher may have told of later changes.
                 self._revision = max(self._revision, changes.revision)
@@ -181,23 +167,28 @@
             return 0.0
         return self._pause_after(self._loop.time() - asked_s)
 
+    async def _watch(self) -> StoreChanges:
+        pace = self._pace
+        wait_ms = pace.telling_ms if self._duty.has_readers() else pace.watch_ms
+        return await self._client.watch(self._revision, int(wait_ms), pace.slack_ms)
+
     async def _read_state(self) -> tuple[News, ...]:
         """Read everything anew; what peers tell meanwhile is read in the watch that follows."""
         self._is_reading_state = True
         try:
-            news, self._revision = await self._client.read_all()
+            news, self._revision = await self._client.read_all(self._pace.read_ms)
         finally:
             self._is_reading_state = False
         self._needs_state = False
         return news
 
     def _pause_after(self, waited_s: float) -> float:
-        part = TELLING_PART if self._duty.has_readers() else PAUSE_PART
-        pause_s = self._bound_ms / part / 1000.0
+        pace = self._pace
+        pause_s = (pace.telling_ms if self._duty.has_readers() else pace.pause_ms) / 1000.0
         if self._is_returning():
             return min(pause_s, RETURN_PAUSE_S)
         # A watch that waited in vain has gathered already.
-        has_waited = waited_s >= self._bound_ms / PAUSE_PART / 1000.0
+        has_waited = waited_s >= pace.pause_ms / 1000.0
         return 0.0 if has_waited else pause_s * (0.9 + 0.2 * self._random.random())
 
     def _is_returning(self) -> bool:
--- a/packages/geraniumlead/src/geraniumlead/peering/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/__init__.py
@@ -17,9 +17,11 @@
     decode_peering,
     encode_peering,
 )
+from geraniumlead.peering.reading_pace import PATIENCE_SPREAD, ReadingPace
 from geraniumlead.peering.store_watch import StoreWatch
 
 __all__ = [
+    "PATIENCE_SPREAD",
     "CrashNotice",
     "DelegatedReply",
     "DelegatedRequest",
@@ -31,6 +33,7 @@
     "PeerContact",
     "PeerDirectory",
     "PeeringMessage",
+    "ReadingPace",
     "RelayedItem",
     "StoreNews",
     "StoreWatch",
