Never leave out of the log what an instance comes to believe as a whole

They had taken it over: the lines of 100 upstreams that left in the same reading had used up the second's budget, and the configuration's line was left out with the rest.

Configurations, readings, evacuations and the loss of the store are written over the budget; they are a few a second at the most. test_a_configuration_is_told_beside_hundreds_of_upstreams fails without the change.

--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/decision_log.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/decision_log.py
@@ -11,6 +11,19 @@
 """Budget below which lines of ordinary answers are left out: failed and late ones are what a
 complaint is about."""
 
+KEPT_NAMES = frozenset(
+    {
+        "configuration",
+        "cut_off",
+        "evacuated",
+        "published",
+        "store_lost",
+        "store_regained",
+    }
+)
+"""What an instance comes to believe as a whole: a few lines a second at the most, of which a
+complaint about old routes cannot spare one."""
+
 MILLISECONDS_PER_S = 1000.0
 
 logger = logging.getLogger("geraniumlead")
@@ -21,6 +34,9 @@
 
     Load pattern: a burst is refused, hundreds of requests a second. A line for each would
     cost as much as the refusals. One request is one line, so it is there whole or not at all.
+
+    Failure: hundreds of upstreams leave in one reading, their lines use up the budget, and the
+    line of the configuration that came with them is missing from the log.
     """
 
     def __init__(self, now_ms: float = 0.0, lines_per_s: float = MOST_LINES_PER_S) -> None:
@@ -36,10 +52,10 @@
         self._refilled_ms = now_ms
         is_ordinary = decision.name == "request" and decision.level == "info"
         least = self._lines_per_s * QUIET_PART if is_ordinary else 1.0
-        if self._budget < least:
+        if self._budget < least and decision.name not in KEPT_NAMES:
             self._skipped += 1
             return
-        self._budget -= 1
+        self._budget = max(0.0, self._budget - 1.0)
         fields = {**decision.fields, "skipped_lines": self._skipped}
         self._skipped = 0
         level = logging.WARNING if decision.level == "warning" else logging.INFO
