--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
@@ -1,5 +1,7 @@
 """Record OpenTelemetry metrics of forwarded requests."""
 
+from collections.abc import Callable
+
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import MetricReader
@@ -16,8 +18,11 @@
 class ForwardingMetrics:
     """Count requests by route, status and reason, and their latencies by route."""
 
-    def __init__(self, forwarder: Forwarder, reader: MetricReader) -> None:
+    def __init__(
+        self, forwarder: Forwarder, reader: MetricReader, now_ms: Callable[[], float]
+    ) -> None:
         self._forwarder = forwarder
+        self._now_ms = now_ms
         self._routes: set[str] = set()
         meter = MeterProvider([reader], shutdown_on_exit=False).get_meter("geraniumlead")
         self._latency = meter.create_histogram(
@@ -34,6 +39,7 @@
             ("geraniumlead_open_requests", lambda: forwarder.open_requests),
             ("geraniumlead_ready", lambda: int(forwarder.is_ready)),
             ("geraniumlead_config_version", self._read_version),
+            ("geraniumlead_view_age_ms", self._read_view_age_ms),
             ("geraniumlead_store_lost", lambda: int(forwarder.published.is_store_lost)),
         ):
             meter.create_observable_gauge(name, callbacks=[_observer_of(read)])
@@ -62,6 +68,9 @@
         self._routes.add(route)
         return route
 
+    def _read_view_age_ms(self) -> float:
+        return self._forwarder.published.view_age_ms(self._now_ms()) or 0.0
+
     def _read_version(self) -> int:
         configuration = self._forwarder.published.configuration
         return 0 if configuration is None else configuration.version
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
@@ -73,13 +73,15 @@
 class StoreChanges(Struct, frozen=True):
     """Hold what changed, and the revision up to which; with ``has_more`` that is not the latest.
 
-    ``relayed`` says the same to other instances.
+    ``relayed`` says the same to other instances. ``waited_ms`` is how long the store waited
+    for a change at the least: 0 when there was one.
     """
 
     news: tuple[News, ...]
     revision: int
     has_more: bool
     relayed: StoreNews
+    waited_ms: float
 
 
 _RANGE = Decoder(RangeBody)
@@ -131,6 +133,7 @@
             revision=found.revision,
             has_more=_is_full(found.events),
             relayed=_relayed(revision, found.revision, changed),
+            waited_ms=0.0 if found.events else float(wait_ms),
         )
 
     def read_relayed(self, relayed: StoreNews) -> tuple[News, ...]:
@@ -167,7 +170,7 @@
             raise StoreError(str(error)) from error
 
     def _read_items(self, items: list[ItemBody]) -> tuple[list[News], list[ItemBody]]:
-        """Return what items say, and which of them are no mere heartbeats."""
+        """Return what items say that was not known, and the items that said so."""
         found, changed = [], []
         for item in items:
             # Pages of one reading differ in age: a watch from the first repeats what the last
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -150,7 +150,7 @@
         from geraniumlead_server.forwarding_telemetry.page import MetricsPage
 
         page = MetricsPage()
-        metrics = ForwardingMetrics(self._driver.forwarder, page.reader)
+        metrics = ForwardingMetrics(self._driver.forwarder, page.reader, self._driver.now_ms)
         self._driver.observers.append(metrics.observe)
         address = self._settings.listen.metrics
         server = WebServer.from_address(page, address, OTHER_CONNECTIONS)
@@ -179,11 +179,19 @@
     def _hear(self, sender_id: str, message: PeeringMessage) -> None:
         match message:
             case StoreNews():
-                if self._follower is not None:
-                    self._follower.take_relayed(message)
+                self._take_relayed(sender_id, message)
             case _:
                 self._driver.handle(PeerHeard(sender_id, message))
 
+    def _take_relayed(self, sender_id: str, news: StoreNews) -> None:
+        if self._follower is None:
+            return
+        peer = self._driver.forwarder.store_watch.peer(sender_id)
+        delay_ms = 0.0
+        if peer is not None and news.sent_ms is not None:
+            delay_ms = peer.delay_ms(news.sent_ms, self._driver.now_ms())
+        self._follower.take_relayed(news, sender_id, delay_ms)
+
     async def _stop(self, servers: list[WebServer], tasks: list[asyncio.Task]) -> None:
         """Leave the balancer, take what still comes for a while, and end what is open."""
         forwarder = self._driver.forwarder
--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -9,7 +9,8 @@
 
 from geraniumlead.forwarding import PublishedNews, StoreLost
 from geraniumlead.forwarding.news import News
-from geraniumlead.peering import PATIENCE_SPREAD, ReadingPace, StoreNews
+from geraniumlead.peering import ReadingPace, StoreNews
+from geraniumlead.peering.reading_pace import PATIENCE_SPREAD, RETRY_WATCH_MS
 from geraniumlead_server.backoff import Backoff
 from geraniumlead_server.platform import (
     HistoryGoneError,
@@ -27,8 +28,8 @@
 after an outage that ends while all instances start, each tenth of a second counts."""
 
 FAR_BEHIND_S = 2.0
-"""Outage after which everything is read anew. Every upstream wrote several heartbeats meanwhile,
-and their history takes more calls than the state."""
+"""Outage after which everything is read anew. Upstreams that start change their entries with each
+heartbeat, and the history of hundreds takes more calls than the state."""
 
 RETURN_S = 3.0
 RETURN_PAUSE_S = 0.2
@@ -42,14 +43,15 @@
 class StoreFollower:
     """Report everything that stands in the store, and then every change.
 
-    Each upstream writes a heartbeat about each second, so a watch returns at once and at the
-    price of a call. A pause between watches gathers many changes into one call: the calls of
-    an instance depend on the bounds only, not on how many upstreams there are.
+    While nothing changes, a watch waits for long and is all that an instance asks. Hundreds of
+    upstreams that start together change their entries each second, so that a watch returns at
+    once and at the price of a call; a pause between watches gathers many changes into one: the
+    calls depend on the bounds only, not on how many upstreams there are.
 
-    Failure: the store turns this instance away for seconds, and the heartbeats of hundreds of
-    upstreams fill its history. Caught up a reply at a time with a pause after each, it followed
-    old routes for seconds more. A reply that was cut is followed at once, and after a long
-    outage the state is read in place of its history.
+    Failure: the store turns this instance away for seconds, and starting upstreams fill its
+    history. Caught up a reply at a time with a pause after each, it followed old routes for
+    seconds more. A reply that was cut is followed at once, and after a long outage the state is
+    read in place of its history.
 
     Who does not watch hears from the watchers of its data centre what changed, and asks the
     store itself when they are silent, or tell of changes from after a gap.
@@ -68,7 +70,7 @@
         self._report = report
         self._random = random
         self._duty = duty or StoreDuty()
-        self._heard_s = float("-inf")
+        self._as_of_s = float("-inf")
         self._is_due = asyncio.Event()
         self._loop = asyncio.get_running_loop()
         self._backoff = Backoff(random, self._pace.longest_retry_ms / 1000.0)
@@ -88,8 +90,8 @@
             await asyncio.sleep(await self._ask())
             await self._wait_until_due()
 
-    def take_relayed(self, relayed: StoreNews) -> None:
-        """Take over what a watcher has read.
+    def take_relayed(self, relayed: StoreNews, source: str, delay_ms: float = 0.0) -> None:
+        """Take over what another instance has read; it came so much later than usual.
 
         Failure: a message of the watcher is lost, or this instance begins with an older state.
         What lies between is unknown then, so it counts as not heard.
@@ -109,23 +111,28 @@
             self._is_due.set()
         else:
             self._revision = relayed.to_revision
-        self._heard_s = self._loop.time()
+        age_ms = relayed.age_ms + delay_ms
+        self._note_as_of(self._loop.time() - age_ms / 1000.0)
         # The store may have turned only this instance away.
         self._lost_s = None
         self._needs_state = False
         is_after_outage = relayed.is_after_outage
-        self._report(PublishedNews(news, is_snapshot=False, is_after_outage=is_after_outage))
+        self._report(PublishedNews(news, False, is_after_outage, age_ms, source))
 
     async def _wait_until_due(self) -> None:
         """Wait while others of the data centre tell what they have read.
 
+        Failure: what they tell comes late, for they are slow, or were frozen after reading it.
+        The wait counts from when the store was asked and not from when it was heard, so a view
+        is never taken for newer than it is.
+
         The time is spread, so that one of those who hear nothing asks first; what it reads it
         passes on, and the others need not ask. A watcher that the store turns away waits, too.
         """
         spread = 1.0 + PATIENCE_SPREAD * self._random.random()
         patience_s = self._pace.patience_ms / 1000.0 * spread
         while not self._has_more:
-            left_s = self._heard_s + patience_s - self._loop.time()
+            left_s = self._as_of_s + patience_s - self._loop.time()
             is_on_duty = self._duty.is_watcher() and not self._has_failed
             if is_on_duty or left_s < LEAST_WAIT_S:
                 return
@@ -158,18 +165,41 @@
         except StoreError as error:
             return self._note_lost(error)
         self._note_answered(is_snapshot)
-        self._heard_s = self._loop.time()
+        as_of_s = self._as_of_answer_s(asked_s, changes)
+        self._note_as_of(as_of_s)
+        age_ms = (self._loop.time() - as_of_s) * 1000.0
         is_after_outage, self._is_told_of_outage = self._is_told_of_outage, False
-        self._report(PublishedNews(news, is_snapshot, is_after_outage))
+        self._report(PublishedNews(news, is_snapshot, is_after_outage, age_ms))
         if changes is not None:
-            self._duty.relay(replace(changes.relayed, is_after_outage=self._has_returned()))
+            self._relay(changes.relayed, age_ms)
         if self._has_more:
             return 0.0
         return self._pause_after(self._loop.time() - asked_s)
 
+    def _relay(self, news: StoreNews, age_ms: float) -> None:
+        now_ms = self._loop.time() * 1000.0
+        is_after_outage = self._has_returned()
+        self._duty.relay(
+            replace(news, is_after_outage=is_after_outage, age_ms=age_ms, sent_ms=now_ms)
+        )
+
+    def _as_of_answer_s(self, asked_s: float, changes: StoreChanges | None) -> float:
+        """Return a time at which the store was surely as it answered.
+
+        An answer with changes came at once or any time later, and may have lain unread. One
+        without came when the wait was over.
+        """
+        waited_s = 0.0 if changes is None else changes.waited_ms / 1000.0
+        return min(self._loop.time(), asked_s + waited_s)
+
+    def _note_as_of(self, as_of_s: float) -> None:
+        self._as_of_s = max(self._as_of_s, as_of_s)
+
     async def _watch(self) -> StoreChanges:
         pace = self._pace
         wait_ms = pace.telling_ms if self._duty.has_readers() else pace.watch_ms
+        if self._lost_s is not None:
+            wait_ms = RETRY_WATCH_MS
         return await self._client.watch(self._revision, int(wait_ms), pace.slack_ms)
 
     async def _read_state(self) -> tuple[News, ...]:
--- a/packages/geraniumlead/src/geraniumlead/fleet/fleet_view.py
+++ b/packages/geraniumlead/src/geraniumlead/fleet/fleet_view.py
@@ -15,7 +15,14 @@
     LAPSE_HOLD_MS after the store was away; entries that are still missing then are gone.
     """
 
-    __slots__ = ("_by_service", "_evacuated", "_hold_until_ms", "_leaving_ms", "_records")
+    __slots__ = (
+        "_by_service",
+        "_evacuated",
+        "_hold_until_ms",
+        "_leaving_ms",
+        "_read_ms",
+        "_records",
+    )
 
     def __init__(self) -> None:
         self._records: dict[str, UpstreamRecord] = {}
@@ -23,11 +30,20 @@
         self._evacuated: frozenset[str] = frozenset()
         self._leaving_ms: dict[str, float] = {}
         self._hold_until_ms = float("-inf")
+        self._read_ms: float | None = None
 
     def __len__(self) -> int:
         """Return the number of known upstreams."""
         return len(self._records)
 
+    def note_read(self, read_ms: float) -> None:
+        """Note that the view is as the platform's store was at a time, or newer."""
+        self._read_ms = read_ms if self._read_ms is None else max(read_ms, self._read_ms)
+
+    def age_ms(self, now_ms: float) -> float | None:
+        """Return how old the view is at the most; None before the first reading."""
+        return None if self._read_ms is None else now_ms - self._read_ms
+
     def get(self, upstream_id: str) -> UpstreamRecord | None:
         """Return an upstream that is known, usable or not."""
         return self._records.get(upstream_id)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/events.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/events.py
@@ -34,12 +34,15 @@
 class PublishedNews:
     """The store was read: ``is_snapshot`` when everything that stands there is in ``news``.
 
-    ``is_after_outage`` when another instance read it that had lost it shortly before.
+    ``is_after_outage`` when another instance read it that had lost it shortly before; ``source``
+    names that instance. ``age_ms`` is how long ago the store gave the answer, at the most.
     """
 
     news: tuple[News, ...]
     is_snapshot: bool
     is_after_outage: bool = False
+    age_ms: float = 0.0
+    source: str = "store"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
@@ -59,7 +59,7 @@
     """A request on its way. Its legs all belong to the configuration version it began with.
 
     ``goal_ms`` is when the reply should leave; the caller has it in time up to ``margin_ms``
-    later.
+    later. ``view_age_ms`` is how old what is known of upstreams and routes was at the start.
     """
 
     request: ForwardedRequest
@@ -68,6 +68,7 @@
     goal_ms: float
     end_ms: float
     margin_ms: float = 0.0
+    view_age_ms: float | None = None
     legs: list[Leg] = field(default_factory=list)
     check_ms: float = float("inf")
     settled: int = 0
--- a/packages/geraniumlead/src/geraniumlead/forwarding/published_state.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/published_state.py
@@ -1,5 +1,7 @@
 """Follow what operators and upstreams publish."""
 
+from collections import Counter
+
 from geraniumlead.fleet import FleetView, UpstreamRecord
 from geraniumlead.forwarding.actions import ForwardingAction, LogDecision
 from geraniumlead.forwarding.events import PublishedNews
@@ -12,6 +14,13 @@
 from geraniumlead.forwarding.upstream_chooser import UpstreamChooser
 from geraniumlead.routes import PublishedConfiguration
 
+_LOGGED_NAMES = {
+    ConfigurationSeen: "configurations",
+    EvacuationSeen: "evacuations",
+    UpstreamSeen: "upstreams_seen",
+    UpstreamWithdrawn: "upstreams_withdrawn",
+}
+
 AWAY_MS = 2_500.0
 """Time since the store's last answer after which entries may have lapsed, if a call has failed in
 it; upstreams renew theirs each second or so, and three times unrenewed they lapse."""
@@ -24,7 +33,14 @@
     bring an old configuration back.
     """
 
-    __slots__ = ("_actions", "_chooser", "_fleet", "_lost_since_ms", "configuration", "seen_ms")
+    __slots__ = (
+        "_actions",
+        "_chooser",
+        "_fleet",
+        "_lost_since_ms",
+        "configuration",
+        "seen_ms",
+    )
 
     def __init__(
         self, fleet: FleetView, chooser: UpstreamChooser, actions: list[ForwardingAction]
@@ -55,9 +71,14 @@
         names = {name for route in routes for name in route.services()}
         return any(not self._fleet.usable(name) for name in names)
 
+    def view_age_ms(self, now_ms: float) -> float | None:
+        """Return how old the view is at the most; None before the first reading."""
+        return self._fleet.age_ms(now_ms)
+
     def take(self, event: PublishedNews, now_ms: float) -> None:
         """Take over what was read."""
         self._note_answered(now_ms)
+        self._fleet.note_read(now_ms - event.age_ms)
         if event.is_after_outage:
             self._fleet.note_platform_returned(now_ms)
         for item in event.news:
@@ -74,6 +95,8 @@
                     self._set_evacuated(self._fleet.evacuated - {name}, now_ms)
         if event.is_snapshot:
             self._drop_missing(event, now_ms)
+        if event.news:
+            self._log_reading(event)
 
     def note_lost(self, detail: str, now_ms: float) -> None:
         """Note that the store does not answer; what it said last stays in force."""
@@ -166,5 +189,17 @@
         )
         self._set_evacuated(evacuated, now_ms)
 
+    def _log_reading(self, event: PublishedNews) -> None:
+        """Tell of a reading in one line, for those of single upstreams may be left out."""
+        fields = {
+            "source": event.source,
+            "age_ms": round(event.age_ms, 1),
+            "is_snapshot": event.is_snapshot,
+            "version": None if self.configuration is None else self.configuration.version,
+            "upstreams": len(self._fleet),
+            **Counter(_LOGGED_NAMES[type(item)] for item in event.news),
+        }
+        self._log("published", fields)
+
     def _log(self, name: str, fields: dict, level: str = "info") -> None:
         self._actions.append(LogDecision(name, fields, level))
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_line.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_line.py
@@ -13,6 +13,7 @@
         "request_id": request.request_id,
         "route": opened.route.name,
         "version": opened.configuration.version,
+        "view_age_ms": None if opened.view_age_ms is None else round(opened.view_age_ms),
         "latency_ms": round(now_ms - request.arrived_ms, 1),
         "goal_left_ms": round(opened.goal_ms - now_ms, 1),
         "margin_ms": round(opened.margin_ms, 1),
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -39,6 +39,7 @@
     __slots__ = (
         "_actions",
         "_book",
+        "_fleet",
         "_legs",
         "_open",
         "_retry_after",
@@ -60,6 +61,7 @@
     ) -> None:
         self._retry_after = retry_after
         self._actions = actions
+        self._fleet = fleet
         self._book = AttemptBook(settings, fleet, random, actions)
         self.crashes = CrashBook()
         self._legs = LegSender(self._book, self.crashes)
@@ -107,7 +109,8 @@
         services = self._services.of_request(request, route)
         margin_ms = self.own_delay.margin_ms(route.latency_goal_ms, len(services), now_ms)
         goal_ms, end_ms = self._book.clock.times_of(request, route, margin_ms)
-        opened = OpenRequest(request, route, configuration, goal_ms, end_ms, margin_ms)
+        view_age_ms = self._fleet.age_ms(now_ms)
+        opened = OpenRequest(request, route, configuration, goal_ms, end_ms, margin_ms, view_age_ms)
         opened.legs = [Leg(opened, service) for service in services]
         self._open[request.key] = opened
         chosen = self._legs.choose_all(opened, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -177,6 +177,8 @@
         if peer.incarnation != hello.incarnation:
             peer.incarnation = hello.incarnation
             peer.began_ms = now_ms
+            peer.clock_gap_ms = float("inf")
+        peer.note_clock(hello.sent_ms, now_ms)
         peer.version = hello.version
         peer.is_ready = hello.is_ready
         peer.clock_ms = hello.sent_ms
--- a/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
@@ -23,7 +23,8 @@
 
     ``echoed_ms`` is this instance's clock in the latest hello that the peer has had of it;
     ``count`` is how many instances the peer knows; ``began_ms`` is when its present life was
-    first heard of.
+    first heard of. ``clock_gap_ms`` is the least that this clock was ahead of the peer's when a
+    hello of its present life came: how far the clocks differ, and the time of the way.
 
     Failure: a peer starts again, and the hellos to it wait while it loads. Taken into a mean,
     one such time made the way of 8 ms look like 200, and what was passed to the peer just
@@ -44,6 +45,7 @@
     asks_names: bool = False
     is_ready: bool = False
     clock_ms: float | None = None
+    clock_gap_ms: float = float("inf")
     way_samples_ms: deque[float] = field(default_factory=lambda: deque(maxlen=WAY_SAMPLES))
     open_delegations: int = 0
     declined_ms: float = float("-inf")
@@ -69,6 +71,16 @@
         """Return the time within which the peer says that it serves a request."""
         return 2.0 * self.usual_way_ms + TAKEN_SLACK_MS
 
+    def note_clock(self, sent_ms: float, now_ms: float) -> None:
+        """Learn from one hello how far the clocks differ."""
+        self.clock_gap_ms = min(self.clock_gap_ms, now_ms - sent_ms)
+
+    def delay_ms(self, sent_ms: float, now_ms: float) -> float:
+        """Return how much longer than a quick hello a message took; 0 before any hello."""
+        if self.clock_gap_ms == float("inf"):
+            return 0.0
+        return max(0.0, now_ms - sent_ms - self.clock_gap_ms)
+
     def note_way(self, way_ms: float) -> None:
         """Learn from one hello how long a message takes to the peer."""
         self.way_samples_ms.append(max(0.0, way_ms))
--- a/packages/geraniumlead/src/geraniumlead/peering/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -124,6 +124,7 @@
 
     Heartbeats that change nothing are left out. With ``is_cut`` something is left out that the
     receiver has to read for itself; ``is_after_outage`` says that the store has just come back.
+    ``age_ms`` is how long before ``sent_ms``, on the sender's clock, the store was asked.
     """
 
     from_revision: int
@@ -131,6 +132,8 @@
     items: tuple[RelayedItem, ...] = ()
     is_cut: bool = False
     is_after_outage: bool = False
+    age_ms: float = 0.0
+    sent_ms: float | None = None
 
 
 PeeringMessage = (
--- a/packages/geraniumlead/src/geraniumlead/peering/reading_pace.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/reading_pace.py
@@ -2,8 +2,12 @@
 
 from dataclasses import dataclass
 
-WATCH_PART = 3.0
-"""Parts of the bound that a watch waits for a change."""
+WATCH_PART = 1.5
+"""Parts of the bound that a watch waits for a change. Without changes it is all the calls that an
+instance makes, so it is long."""
+
+RETRY_WATCH_MS = 1.0
+"""Wait of a watch after a lost call: what counts then is whether the store answers."""
 
 TELLING_PART = 2.5
 """Parts of the bound that one who tells others waits for a change, or gathers changes: there are
@@ -20,14 +24,14 @@
 PATIENCE_SPREAD = 0.25
 
 RETRY_PART = 4.0
-SLACK_PART = 3.0
+SLACK_PART = 6.0
 READ_PART = 2.0
 
 LONGEST_RETRY_MS = 2_000.0
 """Below the time in which a change must be in force; 22 watchers then make 11 tries a second."""
 
 LEAST_RETRY_MS = 500.0
-LEAST_SLACK_MS = 500.0
+LEAST_SLACK_MS = 300.0
 LONGEST_SLACK_MS = 1_000.0
 LEAST_READ_MS = 1_000.0
 LONGEST_READ_MS = 2_000.0
@@ -42,8 +46,8 @@
     as silent, ``read_ms`` the same for a page of the state, and ``longest_retry_ms`` the longest
     pause between tries.
 
-    Load pattern: hundreds of upstreams write a heartbeat each second, and the store is away,
-    silent or turns instances away at any moment.
+    Load pattern: nothing changes for minutes, or hundreds of upstreams start and change their
+    entries each second, and the store is away, silent or turns instances away at any moment.
 
     Failure: a call went out just before the store was back, and its answer is lost. The longest
     wait for it and the pause after it together stay below the bound, so that what changed
--- a/packages/geraniumlead/src/geraniumlead/peering/store_watch.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/store_watch.py
@@ -15,9 +15,9 @@
 class StoreWatch:
     """Say whether this instance watches the store, and to whom it passes on what changed.
 
-    Load pattern: hundreds of upstreams write a heartbeat each second, and every instance reads
-    them all. The calls of a whole fleet cost more than its processors; here those of a data
-    centre are those of two instances, however many it has.
+    Load pattern: hundreds of upstreams start, leave and change, and every instance reads it all.
+    The calls of a whole fleet cost more than its processors; here those of a data centre are
+    those of two instances, however many it has.
 
     Failure: the watchers die, freeze or lose the store, or two instances disagree on who they
     are. Whoever hears nothing from a watcher for a part of the shortest bound asks the store
@@ -48,6 +48,10 @@
         told = list(self._neighbours(now_ms).values())
         return told if len(told) + 1 >= LEAST_INSTANCES else []
 
+    def peer(self, instance_id: str) -> KnownPeer | None:
+        """Return a peer by its name."""
+        return self._directory.peers.get(instance_id)
+
     def _neighbours(self, now_ms: float) -> dict[str, KnownPeer]:
         """Return the live peers of the own data centre by name."""
         return {
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_published_state.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_published_state.py
@@ -3,6 +3,7 @@
 from unittest import TestCase
 
 from core_tests.forwarding.builders import (
+    build_answer,
     build_configuration,
     build_news,
     build_record,
@@ -37,6 +38,30 @@
         self.assertFalse(harness.forwarder.published.lacks_upstreams)
 
 
+class ReadingLineTests(TestCase):
+    """What an instance knew, how old it was and from whom is told for each reading."""
+
+    def test_a_request_tells_how_old_the_view_was_that_it_was_served_by(self):
+        """Guards against a complaint of old routes that no line of the log can explain."""
+        harness = ForwarderHarness()
+        news = build_news(build_configuration(build_route()), build_record("x")).news
+        harness.handle(PublishedNews(news, False, age_ms=300.0, source="entry-2"))
+        harness.now_ms += 900.0
+        (attempt,) = harness.ask()
+        harness.end(attempt, build_answer())
+        lines = {line.name: line.fields for line in harness.logged}
+        self.assertEqual(1_200, lines["request"]["view_age_ms"])
+        told = {"source": "entry-2", "age_ms": 300.0, "configurations": 1, "upstreams_seen": 1}
+        self.assertLessEqual(told.items(), lines["published"].items())
+
+    def test_late_news_of_a_peer_make_no_view_younger_than_it_is(self):
+        harness = ForwarderHarness()
+        harness.handle(build_news(build_configuration(build_route()), build_record("x")))
+        harness.now_ms += 1_000.0
+        harness.handle(PublishedNews((), False, age_ms=2_500.0, source="entry-2"))
+        self.assertEqual(1_000.0, harness.forwarder.published.view_age_ms(harness.now_ms))
+
+
 class LapseTests(TestCase):
     def build(self) -> ForwarderHarness:
         harness = ForwarderHarness()
--- a/packages/geraniumlead/tests/core_tests/peering/test_directory.py
+++ b/packages/geraniumlead/tests/core_tests/peering/test_directory.py
@@ -147,6 +147,23 @@
             peer.note_way(way_ms)
         self.assertEqual(30.0, peer.way_ms)
 
+    def test_a_message_is_late_by_what_it_took_beyond_a_quick_hello(self):
+        """Guards against news of a slow peer that pass for new."""
+        peer = KnownPeer(PeerContact("entry-2", "10.0.0.2:1", "noord-a"))
+        self.assertEqual(0.0, peer.delay_ms(sent_ms=0.0, now_ms=9_000.0))
+        peer.note_clock(sent_ms=100.0, now_ms=7_120.0)
+        peer.note_clock(sent_ms=1_100.0, now_ms=8_600.0)
+        self.assertEqual(2_000.0, peer.delay_ms(sent_ms=2_000.0, now_ms=11_020.0))
+
+    def test_the_clock_of_a_peer_is_learnt_anew_in_each_of_its_lives(self):
+        """Guards against a peer whose news seem late for ever, since its clock began again."""
+        group = Group(2, seeds=(0,))
+        group.run_until(3_000.0)
+        group.members[1] = group.build(1, incarnation=99)
+        group.members[0].peers["entry-1"].clock_gap_ms = -50_000.0
+        group.run_until(6_000.0)
+        self.assertEqual(0.0, group.members[0].peers["entry-1"].delay_ms(6_000.0, 6_000.0))
+
     def test_a_farewell_ends_a_life_but_not_the_next_one(self):
         group = Group(2, seeds=(0,))
         group.run_until(1_500.0)
