Let a reader that heard nothing ask what is known now, without waiting for a change

Cause: a reader waits 2.5 to 3.1 s for the watchers, and its own watch then waited two seconds more when nothing changed. Its view was proven only at the end, and a silent store was noticed as much later. Such a watch does not wait any more.

--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -10,7 +10,7 @@
 from geraniumlead.forwarding import PublishedNews, StoreLost
 from geraniumlead.forwarding.news import News
 from geraniumlead.peering import ReadingPace, StoreNews
-from geraniumlead.peering.reading_pace import PATIENCE_SPREAD, RETRY_WATCH_MS
+from geraniumlead.peering.reading_pace import PATIENCE_SPREAD, PROMPT_WATCH_MS
 from geraniumlead_server.backoff import Backoff
 from geraniumlead_server.platform import (
     HistoryGoneError,
@@ -198,8 +198,8 @@
     async def _watch(self) -> StoreChanges:
         pace = self._pace
         wait_ms = pace.telling_ms if self._duty.has_readers() else pace.watch_ms
-        if self._lost_s is not None:
-            wait_ms = RETRY_WATCH_MS
+        if self._has_failed or not self._duty.is_watcher():
+            wait_ms = PROMPT_WATCH_MS
         return await self._client.watch(self._revision, int(wait_ms), pace.slack_ms)
 
     async def _read_state(self) -> tuple[News, ...]:
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/reading_fleet.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/reading_fleet.py
@@ -110,12 +110,18 @@
         self.known: dict[str, UpstreamSeen] = {}
         self.follower = StoreFollower(self.client, bound_ms, self._take, Random(seed), duty)
         self._unread: list[Callable[[], None]] = []
+        self._read_s = float("-inf")
 
     @property
     def age_s(self) -> float:
         """Return how old the view is now."""
         return self._store.age_s(self.mark, asyncio.get_running_loop().time())
 
+    @property
+    def believed_age_s(self) -> float:
+        """Return how old the instance believes its view to be."""
+        return asyncio.get_running_loop().time() - self._read_s
+
     async def freeze(self, seconds: float) -> None:
         """Stand still: what arrives meanwhile is read afterwards."""
         self.client.is_running.clear()
@@ -135,6 +141,8 @@
     def _take(self, event: PublishedNews | StoreLost) -> None:
         if isinstance(event, StoreLost):
             return
+        now_s = asyncio.get_running_loop().time()
+        self._read_s = max(self._read_s, now_s - event.age_ms / 1000.0)
         for item in event.news:
             if isinstance(item, UpstreamSeen):
                 self.known[item.record.upstream_id] = item
@@ -144,13 +152,22 @@
 
 async def oldest_age_s(members: list[ReadingInstance], seconds: float) -> float:
     """Let time pass; return how old the oldest view was at the worst."""
+    return await _worst(lambda: max(member.age_s for member in members), seconds)
+
+
+async def oldest_believed_age_s(members: list[ReadingInstance], seconds: float) -> float:
+    """Let time pass; return how old any instance believed its view to be at the worst."""
+    return await _worst(lambda: max(member.believed_age_s for member in members), seconds)
+
+
+async def _worst(look: Callable[[], float], seconds: float) -> float:
     loop = asyncio.get_running_loop()
     end_s = loop.time() + seconds
-    oldest_s = 0.0
+    worst = 0.0
     while loop.time() < end_s:
         await asyncio.sleep(LOOK_PAUSE_S)
-        oldest_s = max([oldest_s, *(member.age_s for member in members)])
-    return oldest_s
+        worst = max(worst, look())
+    return worst
 
 
 class ReadingFleet:
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_large_fleet_reading.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_large_fleet_reading.py
@@ -10,6 +10,7 @@
     ReadingFleet,
     ReadingInstance,
     oldest_age_s,
+    oldest_believed_age_s,
     run_in_virtual_time,
 )
 
@@ -24,6 +25,10 @@
 CALL_S = 0.2
 """A call that is answered, and the step in which ages are looked at."""
 
+PATIENCE_MS = ReadingPace.from_bound(BOUND_MS).patience_ms
+LONGEST_UNHEARD_S = PATIENCE_MS * (1.0 + PATIENCE_SPREAD) / 1000.0 + CALL_S
+"""Age at which a reader has asked for itself at the latest."""
+
 
 class NextIndexTests(TestCase):
     """The upstreams of another index start while the first still serves."""
@@ -106,6 +111,22 @@
             watcher.client.is_running.clear()
         self.assertLess(await oldest_age_s(fleet.members[2:], 15.0), BOUND_S)
 
+    def test_readers_prove_their_views_soon_when_nothing_changes(self):
+        """Guards against readers that wait for a change before they know that there was none."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                run_in_virtual_time(self._lose_watchers_in_calm(seed))
+
+    async def _lose_watchers_in_calm(self, seed: int) -> None:
+        fleet = ReadingFleet(MarkedStore(FIRST_UPSTREAMS), BOUND_MS, INSTANCES, seed)
+        fleet.start()
+        await asyncio.sleep(START_S)
+        for watcher in fleet.members[:2]:
+            watcher.client.is_running.clear()
+        oldest_s = await oldest_believed_age_s(fleet.members[2:], 15.0)
+        fleet.stop()
+        self.assertLess(oldest_s, LONGEST_UNHEARD_S)
+
     def test_who_is_turned_away_lives_on_what_peers_tell(self):
         """Guards against an instance that follows old routes for as long as it is turned away."""
         self.run_each_seed(self._turn_watchers_away)
@@ -138,12 +159,10 @@
         self.run_each_seed(self._delay_what_is_told)
 
     async def _delay_what_is_told(self, fleet: ReadingFleet) -> None:
-        pace = ReadingPace.from_bound(BOUND_MS)
-        longest_s = pace.patience_ms * (1.0 + PATIENCE_SPREAD) / 1000.0 + CALL_S
         fleet.members[0].client.is_running.clear()
         for delay_s in (1.0, 2.0, 2.7):
             fleet.delays_s[1] = delay_s
-            self.assertLess(await oldest_age_s(fleet.members[2:], 10.0), longest_s)
+            self.assertLess(await oldest_age_s(fleet.members[2:], 10.0), LONGEST_UNHEARD_S)
 
 
 class LoneInstanceTests(TestCase):
--- a/packages/geraniumlead/src/geraniumlead/peering/reading_pace.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/reading_pace.py
@@ -6,8 +6,10 @@
 """Parts of the bound that a watch waits for a change. Without changes it is all the calls that an
 instance makes, so it is long."""
 
-RETRY_WATCH_MS = 1.0
-"""Wait of a watch after a lost call: what counts then is whether the store answers."""
+PROMPT_WATCH_MS = 1.0
+"""Wait of a watch after a lost call, or of a reader that heard nothing: what counts then is what
+the store says now. A longer wait proves a view only at its end, and a silent store is noticed
+as much later."""
 
 TELLING_PART = 2.5
 """Parts of the bound that one who tells others waits for a change, or gathers changes: there are
--- a/packages/geraniumlead/tests/core_tests/peering/test_reading_pace.py
+++ b/packages/geraniumlead/tests/core_tests/peering/test_reading_pace.py
@@ -3,7 +3,7 @@
 from unittest import TestCase
 
 from geraniumlead.peering import PATIENCE_SPREAD, ReadingPace
-from geraniumlead.peering.reading_pace import RETRY_WATCH_MS
+from geraniumlead.peering.reading_pace import PROMPT_WATCH_MS
 
 BOUNDS_MS = (2_000.0, 3_000.0, 4_000.0, 5_000.0, 8_000.0, 20_000.0)
 FIRST_RETRY_MS = 300.0
@@ -30,7 +30,7 @@
         """
         for bound_ms in BOUNDS_MS:
             pace = ReadingPace.from_bound(bound_ms)
-            for wait_ms in (RETRY_WATCH_MS, pace.telling_ms):
+            for wait_ms in (PROMPT_WATCH_MS, pace.telling_ms):
                 with self.subTest(bound_ms=bound_ms, wait_ms=wait_ms):
                     longest_ms = wait_ms + pace.slack_ms + pace.longest_retry_ms
                     self.assertLess(longest_ms, bound_ms)
