Ask a peer for the state of the store when that turns an instance away

Cause: only changes are told, to those who know what came before, and only in data centres of five or more.

When a call fails and its view is older than half of the bound, an instance asks one peer, in its own data centre first, and gets all that the peer knows with its age and revision; a peer with an old view is silent. While changes come, a lone watch waits for a quarter of the bound only, so that silence shows sooner. A second process with a dead store serves by what the first one knows.

--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
@@ -96,6 +96,7 @@
         self._session: ClientSession | None = None
         self._revisions: dict[str, int] = {}
         self._known: dict[str, News] = {}
+        self._held: dict[str, RelayedItem] = {}
         self._unreadable: set[tuple[str, str]] = set()
 
     async def read_all(self, timeout_ms: float) -> tuple[tuple[News, ...], int]:
@@ -114,9 +115,7 @@
             first_revision = page.revision if first_revision is None else first_revision
             items += page.items
             if not page.truncated or not page.items:
-                self._revisions.clear()
-                self._known.clear()
-                return tuple(self._read_items(items)[0]), first_revision
+                return self._read_anew(items), first_revision
             after = page.items[-1].key
 
     async def watch(self, revision: int, wait_ms: int, slack_ms: float) -> StoreChanges:
@@ -142,8 +141,14 @@
             ItemBody(item.key, item.revision, item.value, item.value is None)
             for item in relayed.items
         ]
+        if relayed.is_state:
+            return self._read_anew(items)
         return tuple(self._read_items(items)[0])
 
+    def tell_state(self, revision: int) -> StoreNews:
+        """Return for other instances all that stood in the store at a revision, or after it."""
+        return StoreNews(revision, revision, tuple(self._held.values()), is_state=True)
+
     async def close(self) -> None:
         """Close all connections."""
         if self._session is not None:
@@ -169,6 +174,12 @@
         except (DecodeError, ValidationError) as error:
             raise StoreError(str(error)) from error
 
+    def _read_anew(self, items: list[ItemBody]) -> tuple[News, ...]:
+        self._revisions.clear()
+        self._known.clear()
+        self._held.clear()
+        return tuple(self._read_items(items)[0])
+
     def _read_items(self, items: list[ItemBody]) -> tuple[list[News], list[ItemBody]]:
         """Return what items say that was not known, and the items that said so."""
         found, changed = [], []
@@ -181,10 +192,12 @@
             news = self._read_one(item)
             if news is not None and news != self._known.get(item.key):
                 self._known[item.key] = news
+                self._held[item.key] = RelayedItem(item.key, item.revision, item.value)
                 found.append(news)
                 changed.append(item)
             if item.deleted:
                 self._known.pop(item.key, None)
+                self._held.pop(item.key, None)
         return found, changed
 
     def _read_one(self, item: ItemBody) -> News | None:
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -15,7 +15,13 @@
     PeerHeard,
     StartAttempt,
 )
-from geraniumlead.peering import PeeringMessage, StoreNews, decode_peering, encode_peering
+from geraniumlead.peering import (
+    PeeringMessage,
+    StateWanted,
+    StoreNews,
+    decode_peering,
+    encode_peering,
+)
 from geraniumlead.peering.peer_letter import PeerLetter
 from geraniumlead.settings import PlatformSettings
 from geraniumlead_server.forwarding_client import AttemptClient
@@ -164,6 +170,7 @@
             is_watcher=lambda: forwarder.store_watch.is_watcher(self._driver.now_ms()),
             has_readers=lambda: bool(forwarder.store_watch.readers(self._driver.now_ms())),
             relay=self._relay_store_news,
+            ask_state=self._ask_state,
             lacks_upstreams=lambda: forwarder.published.lacks_upstreams,
         )
         self._follower = StoreFollower(
@@ -176,10 +183,28 @@
             contact = peer.contact
             self._peers.send(PeerLetter(contact.instance_id, contact.address, news))
 
+    def _ask_state(self, beyond_revision: int | None) -> None:
+        store_watch = self._driver.forwarder.store_watch
+        peer = store_watch.informant(self._driver.now_ms(), self._random)
+        if peer is None:
+            return
+        contact = peer.contact
+        logger.info("state_wanted", extra={"fields": {"peer": contact.instance_id}})
+        message = StateWanted(beyond_revision)
+        self._peers.send(PeerLetter(contact.instance_id, contact.address, message))
+
+    def _tell_state(self, sender_id: str, beyond_revision: int | None) -> None:
+        peer = self._driver.forwarder.store_watch.peer(sender_id)
+        news = None if self._follower is None else self._follower.tell_state(beyond_revision)
+        if peer is not None and news is not None:
+            self._peers.send(PeerLetter(sender_id, peer.contact.address, news))
+
     def _hear(self, sender_id: str, message: PeeringMessage) -> None:
         match message:
             case StoreNews():
                 self._take_relayed(sender_id, message)
+            case StateWanted(beyond_revision=beyond_revision):
+                self._tell_state(sender_id, beyond_revision)
             case _:
                 self._driver.handle(PeerHeard(sender_id, message))
 
--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -53,6 +53,10 @@
     seconds more. A reply that was cut is followed at once, and after a long outage the state is
     read in place of its history.
 
+    Failure: the store turns an instance away that has just started, or has missed what its peers
+    told. It asks a peer for the state as soon as a call fails and its view is old, so that its
+    callers are served by what the others know.
+
     Who does not watch hears from the watchers of its data centre what changed, and asks the
     store itself when they are silent, or tell of changes from after a gap.
     """
@@ -83,6 +87,7 @@
         self._needs_state = True
         self._is_reading_state = False
         self._is_told_of_outage = False
+        self._is_changing = False
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -100,9 +105,11 @@
         read. The last revision stays valid, so that what peers tell still fits to it.
         """
         revision = self._revision
-        if revision is None or self._is_reading_state or relayed.to_revision < revision:
+        if self._is_reading_state or (revision is not None and relayed.to_revision < revision):
+            return
+        if revision is None and not relayed.is_state:
             return
-        if relayed.from_revision > revision:
+        if not relayed.is_state and relayed.from_revision > revision:
             self._is_told_of_outage = relayed.is_after_outage
             self._is_due.set()
             return
@@ -117,7 +124,25 @@
         self._lost_s = None
         self._needs_state = False
         is_after_outage = relayed.is_after_outage
-        self._report(PublishedNews(news, False, is_after_outage, age_ms, source))
+        self._report(PublishedNews(news, relayed.is_state, is_after_outage, age_ms, source))
+
+    def tell_state(self, beyond_revision: int | None) -> StoreNews | None:
+        """Return all that is known, for one who asks; None when that knows as much already.
+
+        A view that is too old is not passed on: whoever asked would wait for its patience again.
+        """
+        is_known = self._revision is not None and not self._is_reading_state
+        age_ms = (self._loop.time() - self._as_of_s) * 1000.0
+        if not is_known or age_ms >= self._pace.patience_ms:
+            return None
+        if beyond_revision is not None and self._revision < beyond_revision:
+            return None
+        return replace(
+            self._client.tell_state(self._revision),
+            is_after_outage=self._has_returned(),
+            age_ms=age_ms,
+            sent_ms=self._loop.time() * 1000.0,
+        )
 
     async def _wait_until_due(self) -> None:
         """Wait while others of the data centre tell what they have read.
@@ -160,6 +185,7 @@
                 # Meanwhile a watcher may have told of later changes.
                 self._revision = max(self._revision, changes.revision)
                 self._is_history_short = False
+                self._is_changing = changes.waited_ms == 0.0
         except HistoryGoneError:
             return self._note_history_gone()
         except StoreError as error:
@@ -196,11 +222,15 @@
         self._as_of_s = max(self._as_of_s, as_of_s)
 
     async def _watch(self) -> StoreChanges:
-        pace = self._pace
-        wait_ms = pace.telling_ms if self._duty.has_readers() else pace.watch_ms
+        wait_ms = int(self._watch_wait_ms())
+        return await self._client.watch(self._revision, wait_ms, self._pace.slack_ms)
+
+    def _watch_wait_ms(self) -> float:
         if self._has_failed or not self._duty.is_watcher():
-            wait_ms = PROMPT_WATCH_MS
-        return await self._client.watch(self._revision, int(wait_ms), pace.slack_ms)
+            return PROMPT_WATCH_MS
+        if self._duty.has_readers():
+            return self._pace.telling_ms
+        return self._pace.pause_ms if self._is_changing else self._pace.watch_ms
 
     async def _read_state(self) -> tuple[News, ...]:
         """Read everything anew; what peers tell meanwhile is read in the watch that follows."""
@@ -248,6 +278,8 @@
         self._report(StoreLost(str(error)))
         if self._lost_s is None:
             self._lost_s = self._loop.time()
+        if self._loop.time() - self._as_of_s >= self._pace.patience_ms / 1000.0:
+            self._duty.ask_state(self._revision)
         pause_s = self._backoff.next_pause_s()
         has_read = self._returned_s > float("-inf")
         return pause_s if has_read else min(FIRST_READ_PAUSE_S, pause_s)
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/platform_process.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/platform_process.py
@@ -19,7 +19,8 @@
 class PlatformProcess:
     """Hold a store, three upstreams of one service and two shards, and one daemon."""
 
-    def __init__(self) -> None:
+    def __init__(self, **settings) -> None:
+        self._own_settings = settings
         self.store = StubStore()
         self.pages = [StubUpstream(f"i-page-{number}") for number in range(2)]
         self.shards = [StubUpstream(f"i-shard-{number}", b"%d" % number * 16) for number in (3, 5)]
@@ -40,12 +41,13 @@
             self.store.put(f"servers/{upstream.upstream_id}", upstream.entry("pages"))
         for number, upstream in enumerate(self.shards):
             self.store.put(f"servers/{upstream.upstream_id}", upstream.entry(f"shard-{number}"))
-        self.session = ClientSession()
         await self.start_daemon()
 
     async def start_daemon(self) -> None:
         """Start the daemon and wait until it is ready."""
         self.write_settings()
+        if self.session is None:
+            self.session = ClientSession()
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -97,7 +99,7 @@
                 "extra_slack": 54,
                 "extra_window_s": 10,
             },
-        }
+        } | self._own_settings
 
     def publish(self, **changes) -> None:
         """Write the next version of the configuration."""
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/reading_fleet.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/reading_fleet.py
@@ -180,6 +180,7 @@
     def __init__(self, store: MarkedStore, bound_ms: float, count: int, seed: int) -> None:
         self.store = store
         self.watchers = {0, 1}
+        self.has_readers = True
         self.delays_s = [WAY_S] * count
         self.lost: set[tuple[int, int]] = set()
         self.members = [
@@ -201,17 +202,29 @@
     def _duty(self, number: int) -> StoreDuty:
         return StoreDuty(
             is_watcher=lambda: number in self.watchers,
-            has_readers=lambda: True,
+            has_readers=lambda: self.has_readers,
             relay=lambda news: self._relay(number, news),
+            ask_state=lambda revision: self._ask_state(number, revision),
         )
 
     def _relay(self, sender: int, news: StoreNews) -> None:
+        if not self.has_readers:
+            return
         data = encode_peering(news)
         loop = asyncio.get_running_loop()
         for receiver in range(len(self.members)):
             if receiver != sender and (sender, receiver) not in self.lost:
                 loop.call_later(self.delays_s[sender], self._deliver, sender, receiver, data)
 
+    def _ask_state(self, asker: int, revision: int | None) -> None:
+        """Let the next member answer, as far as it is reached and has something to tell."""
+        informant = (asker + 1) % len(self.members)
+        news = self.members[informant].follower.tell_state(revision)
+        if news is not None and (informant, asker) not in self.lost:
+            loop = asyncio.get_running_loop()
+            data = encode_peering(news)
+            loop.call_later(2.0 * self.delays_s[informant], self._deliver, informant, asker, data)
+
     def _deliver(self, sender: int, receiver: int, data: bytes) -> None:
         member = self.members[receiver]
         member.when_running(lambda: self._read(sender, member, decode_peering(data)))
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_large_fleet_reading.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_large_fleet_reading.py
@@ -139,6 +139,38 @@
             watcher.client.door = StoreDoor.OPEN
         self.assertLess(await oldest_age_s(fleet.members, 6.0), BOUND_S)
 
+    def test_who_is_turned_away_and_misses_a_message_asks_a_peer(self):
+        """Guards against one lost message that leaves an instance on old routes for an outage."""
+        self.run_each_seed(self._lose_one_message)
+
+    async def _lose_one_message(self, fleet: ReadingFleet) -> None:
+        away = fleet.members[5]
+        away.client.door = StoreDoor.SILENT
+        fleet.lost = {(sender, 5) for sender in range(INSTANCES)}
+        await asyncio.sleep(3.0)
+        fleet.lost = set()
+        await asyncio.sleep(BOUND_S)
+        self.assertLess(await oldest_age_s([away], 10.0), BOUND_S)
+
+    def test_who_starts_turned_away_takes_the_state_from_a_peer(self):
+        """Guards against refusals for as long as the store turns one away that its peers read."""
+        for door in (StoreDoor.REFUSING, StoreDoor.SILENT):
+            for seed in SEEDS:
+                with self.subTest(door=door, seed=seed):
+                    run_in_virtual_time(self._start_turned_away(seed, door))
+
+    async def _start_turned_away(self, seed: int, door: StoreDoor) -> None:
+        store = MarkedStore(FIRST_UPSTREAMS)
+        store.start_marking()
+        fleet = ReadingFleet(store, BOUND_MS, INSTANCES, seed)
+        starting = fleet.members[5]
+        starting.client.door = door
+        fleet.start()
+        await asyncio.sleep(START_S)
+        self.assertEqual(FIRST_UPSTREAMS + 1, len(starting.known))
+        self.assertLess(await oldest_age_s([starting], 10.0), BOUND_S)
+        fleet.stop()
+
     def test_who_wakes_is_up_to_date_within_the_bound(self):
         """Guards against an instance that acts on its view of before a freeze."""
         self.run_each_seed(self._freeze_watchers)
@@ -165,6 +197,30 @@
             self.assertLess(await oldest_age_s(fleet.members[2:], 10.0), LONGEST_UNHEARD_S)
 
 
+class SmallDataCentreTests(TestCase):
+    """A few instances all read the store, and tell each other nothing unasked."""
+
+    def test_who_is_turned_away_asks_its_peers(self):
+        """Guards against an instance that knows no new upstream while its peers know them all."""
+        for bound_ms in (3_000.0, 4_000.0):
+            for door in (StoreDoor.REFUSING, StoreDoor.SILENT):
+                for seed in SEEDS:
+                    with self.subTest(bound_ms=bound_ms, door=door, seed=seed):
+                        run_in_virtual_time(self._turn_one_away(bound_ms, door, seed))
+
+    async def _turn_one_away(self, bound_ms: float, door: StoreDoor, seed: int) -> None:
+        store = MarkedStore(upstream_count=150)
+        store.start_marking()
+        fleet = ReadingFleet(store, bound_ms, count=3, seed=seed)
+        fleet.watchers = {0, 1, 2}
+        fleet.has_readers = False
+        fleet.start()
+        await asyncio.sleep(START_S)
+        fleet.members[2].client.door = door
+        self.assertLess(await oldest_age_s(fleet.members, 12.0), bound_ms / 1000.0)
+        fleet.stop()
+
+
 class LoneInstanceTests(TestCase):
     """One instance reads the store for itself, as those of small data centres do."""
 
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_platform_process.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_platform_process.py
@@ -6,6 +6,7 @@
 
 from geraniumlead_standins.forwarding import UpstreamFault
 from server_tests.forwarding.platform_process import HOST, PlatformProcess
+from server_tests.ports import find_free_port
 
 LONGEST_WAIT_S = 10.0
 
@@ -100,6 +101,24 @@
         self.assertEqual(200, status)
         self.assertEqual(200, await self.platform.ready_status())
 
+    async def test_one_who_starts_turned_away_serves_by_what_a_peer_knows(self):
+        """Guards against refusals for as long as the store turns one away that its peers read."""
+        second = PlatformProcess(
+            instance_id="entry-noord-2",
+            store=f"127.0.0.1:{find_free_port()}",
+            seeds=[self.platform.listen["peers"]],
+        )
+        self.addAsyncCleanup(second.stop)
+        await second.start_daemon()
+        status, _, body = await second.ask("/pages/1")
+        self.assertEqual((200, b"answer"), (status, body))
+        self.platform.publish(routes=[])
+
+        async def is_gone() -> bool:
+            return (await second.ask("/pages/1"))[0] == 404
+
+        await self.wait_until(is_gone)
+
     async def test_a_stop_finishes_what_is_open(self):
         """SIGTERM comes while a request is at its upstream.
 
--- a/packages/geraniumlead/src/geraniumlead/peering/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -119,12 +119,22 @@
     value: bytes | None = None
 
 
+class StateWanted(Struct, frozen=True, array_like=True, tag="state_wanted"):
+    """Ask a peer for all that stands in the platform's store, which turns the sender away.
+
+    ``beyond_revision`` is what the sender knows; None when it knows nothing.
+    """
+
+    beyond_revision: int | None = None
+
+
 class StoreNews(Struct, frozen=True, array_like=True, tag="store_news"):
     """Tell what changed in the platform's store between two of its revisions.
 
     Heartbeats that change nothing are left out. With ``is_cut`` something is left out that the
     receiver has to read for itself; ``is_after_outage`` says that the store has just come back.
     ``age_ms`` is how long before ``sent_ms``, on the sender's clock, the store was asked.
+    With ``is_state`` the items are all that stands there.
     """
 
     from_revision: int
@@ -134,6 +144,7 @@
     is_after_outage: bool = False
     age_ms: float = 0.0
     sent_ms: float | None = None
+    is_state: bool = False
 
 
 PeeringMessage = (
@@ -144,6 +155,7 @@
     | DelegatedReply
     | DelegationCancelled
     | CrashNotice
+    | StateWanted
     | StoreNews
 )
 
--- a/packages/geraniumlead/src/geraniumlead/peering/reading_pace.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/reading_pace.py
@@ -4,7 +4,8 @@
 
 WATCH_PART = 1.5
 """Parts of the bound that a watch waits for a change. Without changes it is all the calls that an
-instance makes, so it is long."""
+instance makes, so it is long; while there are any it waits for ``pause_ms`` only, so that a
+silent store is noticed soon."""
 
 PROMPT_WATCH_MS = 1.0
 """Wait of a watch after a lost call, or of a reader that heard nothing: what counts then is what
--- a/packages/geraniumlead/src/geraniumlead/peering/store_watch.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/store_watch.py
@@ -1,5 +1,7 @@
 """Choose which instances of a data centre read the platform's store for the others."""
 
+from random import Random
+
 from geraniumlead.hashing import rank_by_rendezvous
 from geraniumlead.peering.directory import PeerDirectory
 from geraniumlead.peering.known_peer import KnownPeer
@@ -48,6 +50,16 @@
         told = list(self._neighbours(now_ms).values())
         return told if len(told) + 1 >= LEAST_INSTANCES else []
 
+    def informant(self, now_ms: float, random: Random) -> KnownPeer | None:
+        """Return a peer to ask for the state of the store; None when nobody is reached.
+
+        Chosen by chance, so that one who knows no more is not asked again and again. Those of
+        the own data centre go first: the state of hundreds of upstreams takes some 40 KB.
+        """
+        reached = [peer for peer in self._directory.reached(now_ms) if peer.is_ready]
+        near = [peer for peer in reached if peer.contact.data_centre == self._data_centre]
+        return random.choice(near or reached) if reached else None
+
     def peer(self, instance_id: str) -> KnownPeer | None:
         """Return a peer by its name."""
         return self._directory.peers.get(instance_id)
--- a/packages/geraniumlead/tests/core_tests/peering/test_store_watch.py
+++ b/packages/geraniumlead/tests/core_tests/peering/test_store_watch.py
@@ -1,5 +1,6 @@
 """Test who reads the platform's store for others."""
 
+from random import Random
 from unittest import TestCase
 
 from core_tests.peering.test_directory import Group
@@ -47,3 +48,20 @@
         rest = [watch for n, watch in enumerate(watches) if n not in gone]
         watching = [watch for watch in rest if watch.is_watcher(group.now_ms)]
         self.assertEqual(WATCHERS * len(DATA_CENTRES), len(watching))
+
+    def test_the_state_is_asked_of_a_peer_of_the_own_data_centre(self):
+        group, watches = self.build(12)
+        for number, watch in enumerate(watches):
+            peer = watch.informant(group.now_ms, Random(number))
+            self.assertEqual(DATA_CENTRES[number % 3], peer.contact.data_centre)
+
+    def test_the_state_is_asked_elsewhere_by_the_last_of_a_data_centre(self):
+        group, watches = self.build(12)
+        group.dead = set(range(3, 12, 3))
+        group.run_until(group.now_ms + 30_000.0)
+        peer = watches[0].informant(group.now_ms, Random(1))
+        self.assertNotEqual(DATA_CENTRES[0], peer.contact.data_centre)
+
+    def test_nobody_is_asked_for_the_state_by_one_who_is_alone(self):
+        group, watches = self.build(1)
+        self.assertIsNone(watches[0].informant(group.now_ms, Random(1)))
