--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -9,7 +9,7 @@
 
 from geraniumlead.forwarding import PublishedNews, StoreLost
 from geraniumlead.forwarding.news import News
-from geraniumlead.peering import ReadingPace, StoreNews
+from geraniumlead.peering import ReadingPace, StoreContact, StoreNews
 from geraniumlead.peering.reading_pace import PATIENCE_SPREAD, PROMPT_WATCH_MS
 from geraniumlead_server.backoff import Backoff
 from geraniumlead_server.platform import (
@@ -27,15 +27,9 @@
 """Longest pause between tries before the first reading: until then callers are refused, and
 after an outage that ends while all instances start, each tenth of a second counts."""
 
-FAR_BEHIND_S = 2.0
-"""Outage after which everything is read anew. Upstreams that start change their entries with each
-heartbeat, and the history of hundreds takes more calls than the state."""
-
-RETURN_S = 3.0
 RETURN_PAUSE_S = 0.2
-"""Pause between calls for some time after the first reading and after an outage, while a service
-has no upstream: what had lapsed comes back within two seconds, and callers are refused until
-then."""
+"""Pause between calls while the store has just come back and a service has no upstream: callers
+are refused until what had lapsed is there again."""
 
 logger = logging.getLogger("geraniumlead")
 
@@ -79,12 +73,9 @@
         self._loop = asyncio.get_running_loop()
         self._backoff = Backoff(random, self._pace.longest_retry_ms / 1000.0)
         self._revision: int | None = None
-        self._lost_s: float | None = None
-        self._returned_s = float("-inf")
+        self._contact = StoreContact()
         self._is_history_short = False
-        self._has_failed = False
         self._has_more = False
-        self._needs_state = True
         self._is_reading_state = False
         self._is_told_of_outage = False
         self._is_changing = False
@@ -120,9 +111,7 @@
             self._revision = relayed.to_revision
         age_ms = relayed.age_ms + delay_ms
         self._note_as_of(self._loop.time() - age_ms / 1000.0)
-        # The store may have turned only this instance away.
-        self._lost_s = None
-        self._needs_state = False
+        self._contact.note_told()
         is_after_outage = relayed.is_after_outage
         self._report(PublishedNews(news, relayed.is_state, is_after_outage, age_ms, source))
 
@@ -132,7 +121,7 @@
         A view that is too old is not passed on: whoever asked would wait for its patience again.
         """
         is_known = self._revision is not None and not self._is_reading_state
-        age_ms = (self._loop.time() - self._as_of_s) * 1000.0
+        age_ms = self._view_age_ms()
         if not is_known or age_ms >= self._pace.patience_ms:
             return None
         if beyond_revision is not None and self._revision < beyond_revision:
@@ -141,9 +130,12 @@
             self._client.tell_state(self._revision),
             is_after_outage=self._has_returned(),
             age_ms=age_ms,
-            sent_ms=self._loop.time() * 1000.0,
+            sent_ms=self._now_ms(),
         )
 
+    def _view_age_ms(self) -> float:
+        return (self._loop.time() - self._as_of_s) * 1000.0
+
     async def _wait_until_due(self) -> None:
         """Wait while others of the data centre tell what they have read.
 
@@ -158,7 +150,7 @@
         patience_s = self._pace.patience_ms / 1000.0 * spread
         while not self._has_more:
             left_s = self._as_of_s + patience_s - self._loop.time()
-            is_on_duty = self._duty.is_watcher() and not self._has_failed
+            is_on_duty = self._duty.is_watcher() and not self._contact.has_failed
             if is_on_duty or left_s < LEAST_WAIT_S:
                 return
             try:
@@ -171,9 +163,8 @@
         """Make one call; return the pause until the next, in seconds."""
         asked_s = self._loop.time()
         self._is_due.clear()
-        if self._lost_s is not None and asked_s - self._lost_s >= FAR_BEHIND_S:
-            self._needs_state = True
-        is_snapshot = self._needs_state
+        self._contact.note_asking(asked_s * 1000.0)
+        is_snapshot = self._contact.needs_state
         self._has_more = False
         changes = None
         try:
@@ -190,7 +181,9 @@
             return self._note_history_gone()
         except StoreError as error:
             return self._note_lost(error)
-        self._note_answered(is_snapshot)
+        self._contact.note_answered(is_snapshot, self._now_ms())
+        if not self._is_history_short:
+            self._backoff.reset()
         as_of_s = self._as_of_answer_s(asked_s, changes)
         self._note_as_of(as_of_s)
         age_ms = (self._loop.time() - as_of_s) * 1000.0
@@ -203,10 +196,9 @@
         return self._pause_after(self._loop.time() - asked_s)
 
     def _relay(self, news: StoreNews, age_ms: float) -> None:
-        now_ms = self._loop.time() * 1000.0
         is_after_outage = self._has_returned()
         self._duty.relay(
-            replace(news, is_after_outage=is_after_outage, age_ms=age_ms, sent_ms=now_ms)
+            replace(news, is_after_outage=is_after_outage, age_ms=age_ms, sent_ms=self._now_ms())
         )
 
     def _as_of_answer_s(self, asked_s: float, changes: StoreChanges | None) -> float:
@@ -226,7 +218,7 @@
         return await self._client.watch(self._revision, wait_ms, self._pace.slack_ms)
 
     def _watch_wait_ms(self) -> float:
-        if self._has_failed or not self._duty.is_watcher():
+        if self._contact.has_failed or not self._duty.is_watcher():
             return PROMPT_WATCH_MS
         if self._duty.has_readers():
             return self._pace.telling_ms
@@ -239,7 +231,6 @@
             news, self._revision = await self._client.read_all(self._pace.read_ms)
         finally:
             self._is_reading_state = False
-        self._needs_state = False
         return news
 
     def _pause_after(self, waited_s: float) -> float:
@@ -256,30 +247,22 @@
         return self._has_returned() and self._duty.lacks_upstreams()
 
     def _has_returned(self) -> bool:
-        return self._loop.time() - self._returned_s < RETURN_S
+        return self._contact.has_returned(self._now_ms())
 
-    def _note_answered(self, is_snapshot: bool) -> None:
-        if is_snapshot or self._lost_s is not None:
-            self._returned_s = self._loop.time()
-        self._lost_s = None
-        self._has_failed = False
-        if not self._is_history_short:
-            self._backoff.reset()
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
 
     def _note_history_gone(self) -> float:
         logger.info("history_gone", extra={"fields": {"revision": self._revision}})
-        self._needs_state = True
+        self._contact.needs_state = True
         is_second = self._is_history_short
         self._is_history_short = True
         return self._backoff.next_pause_s() if is_second else 0.0
 
     def _note_lost(self, error: StoreError) -> float:
-        self._has_failed = True
         self._report(StoreLost(str(error)))
-        if self._lost_s is None:
-            self._lost_s = self._loop.time()
-        if self._loop.time() - self._as_of_s >= self._pace.patience_ms / 1000.0:
+        self._contact.note_failed(self._now_ms())
+        if self._view_age_ms() >= self._pace.patience_ms:
             self._duty.ask_state(self._revision)
         pause_s = self._backoff.next_pause_s()
-        has_read = self._returned_s > float("-inf")
-        return pause_s if has_read else min(FIRST_READ_PAUSE_S, pause_s)
+        return pause_s if self._contact.has_answered else min(FIRST_READ_PAUSE_S, pause_s)
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/reading_fleet.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/reading_fleet.py
@@ -21,18 +21,23 @@
 WAY_S = 0.02
 MARKER = "marker"
 CONFIGURATION_PAUSE_S = 0.4
-LARGE_ROUTES = [
-    {
-        "name": f"r-{number}",
-        "hostname": "h.example",
-        "prefix": f"/{number}/",
-        "type": "safe",
-        "timeoutMs": 1000,
-        "maxAttempts": 2,
-        "service": "reader",
-    }
-    for number in range(3_300)
-]
+LARGE_ROUTES = 3_300
+
+
+def build_routes(count: int) -> list[dict]:
+    """Return routes as operators publish them; 3,300 are 400 KB."""
+    return [
+        {
+            "name": f"r-{number}",
+            "hostname": "h.example",
+            "prefix": f"/{number}/",
+            "type": "safe",
+            "timeoutMs": 1000,
+            "maxAttempts": 2,
+            "service": "reader",
+        }
+        for number in range(count)
+    ]
 
 
 def run_in_virtual_time(work: Coroutine) -> None:
@@ -73,8 +78,9 @@
 
     async def write_large_configurations(self) -> None:
         """Publish a configuration of some 400 KB again and again."""
+        routes = build_routes(LARGE_ROUTES)
         for version in count(1):
-            body = {"version": version, "routes": LARGE_ROUTES, "services": []}
+            body = {"version": version, "routes": routes, "services": []}
             self.contents.put("op/config", body)
             await asyncio.sleep(CONFIGURATION_PAUSE_S)
 
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_store_follower.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_store_follower.py
@@ -12,10 +12,12 @@
     UpstreamWithdrawn,
 )
 from geraniumlead.peering import StoreNews, decode_peering, encode_peering
+from geraniumlead.peering.store_contact import FAR_BEHIND_MS
 from geraniumlead_server.platform import StoreClient
 from geraniumlead_server.store_duty import StoreDuty
-from geraniumlead_server.store_follower import FAR_BEHIND_S, StoreFollower
+from geraniumlead_server.store_follower import StoreFollower
 from geraniumlead_standins.forwarding import StubStore, StubUpstream
+from server_tests.forwarding.reading_fleet import build_routes
 
 LONGEST_WAIT_S = 8.0
 BOUND_MS = 160.0
@@ -146,7 +148,7 @@
         """
         await self.wait_for(self.snapshots)
         self.store.status = 503
-        await asyncio.sleep(FAR_BEHIND_S + 0.3)
+        await asyncio.sleep(FAR_BEHIND_MS / 1000.0 + 0.3)
         self.store.status = None
         await self.wait_for(lambda: len(self.snapshots()) == 2)
 
@@ -324,18 +326,7 @@
     async def test_what_is_too_large_to_pass_on_is_read_at_once(self):
         """A large configuration comes; passed on to ten readers it would fill a slow link."""
         await self.put_and_wait("i-1")
-        routes = [
-            {
-                "name": f"r-{number}",
-                "hostname": "h.example",
-                "prefix": f"/{number}/",
-                "type": "safe",
-                "timeoutMs": 1000,
-                "maxAttempts": 2,
-                "service": "reader",
-            }
-            for number in range(4_000)
-        ]
+        routes = build_routes(4_000)
         self.store.put("op/config", {"version": 5, "routes": routes, "services": []})
         async with asyncio.timeout(RELAY_BOUND_MS / 1000.0):
             while not self.configurations():
--- a/packages/geraniumlead/src/geraniumlead/peering/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/__init__.py
@@ -19,6 +19,7 @@
     encode_peering,
 )
 from geraniumlead.peering.reading_pace import PATIENCE_SPREAD, ReadingPace
+from geraniumlead.peering.store_contact import StoreContact
 from geraniumlead.peering.store_watch import StoreWatch
 
 __all__ = [
@@ -37,6 +38,7 @@
     "ReadingPace",
     "RelayedItem",
     "StateWanted",
+    "StoreContact",
     "StoreNews",
     "StoreWatch",
     "decode_peering",
--- a/packages/geraniumlead/src/geraniumlead/peering/store_watch.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/store_watch.py
@@ -54,7 +54,7 @@
         """Return a peer to ask for the state of the store; None when nobody is reached.
 
         Chosen by chance, so that one who knows no more is not asked again and again. Those of
-        the own data centre go first: the state of hundreds of upstreams takes some 40 KB.
+        the own data centre go first: the state of 700 upstreams takes some 22 KB.
         """
         reached = [peer for peer in self._directory.reached(now_ms) if peer.is_ready]
         near = [peer for peer in reached if peer.contact.data_centre == self._data_centre]
