--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -105,20 +105,23 @@
             self._is_due.set()
             return
         news = self._client.read_relayed(relayed)
+        age_ms = relayed.age_ms + delay_ms
         if relayed.is_cut:
+            # What was left out has to be read, so the view is no younger by this.
+            age_ms = self._view_age_ms()
             self._is_due.set()
         else:
             self._revision = relayed.to_revision
-        age_ms = relayed.age_ms + delay_ms
-        self._note_as_of(self._loop.time() - age_ms / 1000.0)
-        self._contact.note_told()
+            self._note_as_of(self._loop.time() - age_ms / 1000.0)
+            self._contact.note_told()
         is_after_outage = relayed.is_after_outage
         self._report(PublishedNews(news, relayed.is_state, is_after_outage, age_ms, source))
 
     def tell_state(self, beyond_revision: int | None) -> StoreNews | None:
-        """Return all that is known, for one who asks; None when that knows as much already.
+        """Return what one who asks does not know; None when this instance knows less.
 
-        A view that is too old is not passed on: whoever asked would wait for its patience again.
+        That is all that is known here, or the word that nothing has changed. A view that is too
+        old is not passed on: whoever asked would wait for its patience again.
         """
         is_known = self._revision is not None and not self._is_reading_state
         age_ms = self._view_age_ms()
@@ -126,8 +129,12 @@
             return None
         if beyond_revision is not None and self._revision < beyond_revision:
             return None
+        if beyond_revision == self._revision:
+            news = StoreNews(self._revision, self._revision)
+        else:
+            news = self._client.tell_state(self._revision)
         return replace(
-            self._client.tell_state(self._revision),
+            news,
             is_after_outage=self._has_returned(),
             age_ms=age_ms,
             sent_ms=self._now_ms(),
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/reading_fleet.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/reading_fleet.py
@@ -7,7 +7,7 @@
 
 import async_solipsism
 
-from geraniumlead.forwarding import PublishedNews, StoreLost, UpstreamSeen
+from geraniumlead.forwarding import ConfigurationSeen, PublishedNews, StoreLost, UpstreamSeen
 from geraniumlead.peering import StoreNews, decode_peering, encode_peering
 from geraniumlead_server.store_duty import StoreDuty
 from geraniumlead_server.store_follower import StoreFollower
@@ -78,12 +78,15 @@
 
     async def write_large_configurations(self) -> None:
         """Publish a configuration of some 400 KB again and again."""
-        routes = build_routes(LARGE_ROUTES)
         for version in count(1):
-            body = {"version": version, "routes": routes, "services": []}
-            self.contents.put("op/config", body)
+            self.put_configuration(version, LARGE_ROUTES)
             await asyncio.sleep(CONFIGURATION_PAUSE_S)
 
+    def put_configuration(self, version: int, route_count: int) -> None:
+        """Publish a configuration."""
+        body = {"version": version, "routes": build_routes(route_count), "services": []}
+        self.contents.put("op/config", body)
+
     def age_s(self, mark: int | None, now_s: float) -> float:
         """Return the age of a view that has seen a mark, or none."""
         following = 0 if mark is None else mark + 1
@@ -113,6 +116,7 @@
         self._store = store
         self.client = VirtualStoreClient(store.contents, WAY_S)
         self.mark: int | None = None
+        self.version: int | None = None
         self.known: dict[str, UpstreamSeen] = {}
         self.follower = StoreFollower(self.client, bound_ms, self._take, Random(seed), duty)
         self._unread: list[Callable[[], None]] = []
@@ -150,8 +154,11 @@
         now_s = asyncio.get_running_loop().time()
         self._read_s = max(self._read_s, now_s - event.age_ms / 1000.0)
         for item in event.news:
-            if isinstance(item, UpstreamSeen):
-                self.known[item.record.upstream_id] = item
+            match item:
+                case UpstreamSeen(record=record):
+                    self.known[record.upstream_id] = item
+                case ConfigurationSeen(configuration=configuration):
+                    self.version = configuration.version
         marked = self.known.get(MARKER)
         self.mark = None if marked is None else marked.record.slots - 1
 
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_large_fleet_reading.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_large_fleet_reading.py
@@ -152,6 +152,33 @@
         await asyncio.sleep(BOUND_S)
         self.assertLess(await oldest_age_s([away], 10.0), BOUND_S)
 
+    def test_who_is_turned_away_gets_what_is_too_large_to_tell_to_all(self):
+        """Guards against a view that counts as young although a configuration was left out."""
+        self.run_each_seed(self._publish_too_much_to_tell)
+
+    async def _publish_too_much_to_tell(self, fleet: ReadingFleet) -> None:
+        away = fleet.members[5]
+        away.client.door = StoreDoor.REFUSING
+        await asyncio.sleep(BOUND_S)
+        fleet.store.put_configuration(version=7, route_count=4_000)
+        await asyncio.sleep(BOUND_S)
+        self.assertEqual(7, away.version)
+
+    def test_who_has_nothing_new_to_tell_answers_in_a_few_bytes(self):
+        """Guards against whole states sent to one who is turned away while nothing changes."""
+        run_in_virtual_time(self._ask_in_calm())
+
+    async def _ask_in_calm(self) -> None:
+        fleet = ReadingFleet(MarkedStore(FIRST_UPSTREAMS), BOUND_MS, 2, seed=1)
+        fleet.start()
+        await asyncio.sleep(START_S)
+        first, second = (member.follower for member in fleet.members)
+        known = first.tell_state(None)
+        self.assertEqual(FIRST_UPSTREAMS, len(known.items))
+        news = second.tell_state(known.to_revision)
+        fleet.stop()
+        self.assertEqual((False, ()), (news.is_state, news.items))
+
     def test_who_starts_turned_away_takes_the_state_from_a_peer(self):
         """Guards against refusals for as long as the store turns one away that its peers read."""
         for door in (StoreDoor.REFUSING, StoreDoor.SILENT):
