--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_store_follower.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_store_follower.py
@@ -111,7 +111,7 @@
         self.assertLessEqual(self.store.calls - before, 6)
 
     async def test_one_that_is_far_behind_catches_up_at_once(self):
-        """The store turns this instance away for seconds, and heartbeats fill its history.
+        """The store turns this instance away for seconds, and changes fill its history.
 
         The newest configuration is the last of 2,500 changes, of which a reply holds 500. With
         a pause after each reply it was in force after five pauses, past its bound, and callers
@@ -142,7 +142,7 @@
         self.assertLess(self.seen_s[last] - self.seen_s[first], 1.0)
 
     async def test_who_was_away_for_long_reads_the_state_and_not_its_history(self):
-        """The store is away for seconds, in which every upstream wrote several heartbeats.
+        """The store is away for seconds, in which starting upstreams changed several times.
 
         Their history takes a reply for each 500 changes; the state is read in far fewer.
         """
@@ -263,7 +263,7 @@
         self.assertLessEqual({"i-1", "i-2", "i-3"}, self.known())
 
     async def test_a_reader_that_is_far_behind_does_not_wait_between_replies(self):
-        """The watchers are silent, and heartbeats fill the history.
+        """The watchers are silent, and changes fill the history.
 
         A reader waited for them between the replies that the store had cut, and followed a
         configuration of five seconds ago.
