Let small data centres of a region share two who watch the store

Below five instances of a data centre all of them watch. Cause: the group that shares two watchers was the data centre alone. Change: the small data centres of a region form one group; large ones stay as they were, and so do regions with fewer than five instances (today's small sites). Ruled out: one group for all small data centres of the fleet (a cut between regions would leave two regions without watchers until their patience ends). Tests: two of six watch in a region of two data centres; a small one beside a large one watches for itself.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
@@ -64,7 +64,7 @@
         )
         self.published = PublishedState(fleet, self._runner.chooser, self._actions)
         self._peers = PeerDesk(directory, self._runner, self.published, self._actions)
-        self.store_watch = StoreWatch(directory, settings.data_centre)
+        self.store_watch = StoreWatch(directory, settings.data_centre, settings.regions)
         self.is_stopping = False
         self._is_cut_off = False
 
--- a/packages/geraniumlead/tests/core_tests/peering/test_store_watch.py
+++ b/packages/geraniumlead/tests/core_tests/peering/test_store_watch.py
@@ -1,5 +1,6 @@
 """Test who reads the platform's store for others."""
 
+from collections.abc import Mapping
 from random import Random
 from unittest import TestCase
 
@@ -8,18 +9,51 @@
 from geraniumlead.peering.store_watch import LEAST_INSTANCES, WATCHERS
 
 DATA_CENTRES = ("noord-a", "midden-a", "zuid-a")
+REGIONS = {"noord-a": "noord", "midden-a": "midden", "zuid-a": "zuid"}
+PAIRED = ("noord-a", "noord-b", "zuid-a")
+PAIRED_REGIONS = {"noord-a": "noord", "noord-b": "noord", "zuid-a": "zuid"}
 
 
 class StoreWatchTests(TestCase):
-    def build(self, count: int) -> tuple[Group, list[StoreWatch]]:
-        group = Group(count, (1, 2, 3), DATA_CENTRES)
+    def build(
+        self,
+        count: int,
+        data_centres: tuple[str, ...] = DATA_CENTRES,
+        regions: Mapping[str, str] = REGIONS,
+    ) -> tuple[Group, list[StoreWatch]]:
+        group = Group(count, (1, 2, 3), data_centres)
         group.run_until(6_000.0)
         watches = [
-            StoreWatch(member, DATA_CENTRES[number % len(DATA_CENTRES)])
+            StoreWatch(member, data_centres[number % len(data_centres)], regions)
             for number, member in enumerate(group.members)
         ]
         return group, watches
 
+    def test_small_data_centres_of_a_region_share_two_who_watch(self):
+        """Three instances a data centre, all of which called the store each three seconds.
+
+        Their calls cost more than their machines, processors and memory together.
+        """
+        group, watches = self.build(9, PAIRED, PAIRED_REGIONS)
+        watching = [n for n, watch in enumerate(watches) if watch.is_watcher(group.now_ms)]
+        in_noord = [n for n in watching if PAIRED[n % 3] != "zuid-a"]
+        self.assertEqual(WATCHERS, len(in_noord))
+        self.assertEqual(3, len(watching) - len(in_noord))
+        for number in in_noord:
+            self.assertEqual(5, len(watches[number].readers(group.now_ms)))
+
+    def test_a_small_data_centre_beside_a_large_one_watches_for_itself(self):
+        """Two data centres of a region see each other's sizes alike.
+
+        Counted in by one of them only, an instance would wait for a watcher that tells it nothing.
+        """
+        data_centres = ("noord-a",) * 5 + ("noord-b",)
+        group, watches = self.build(6, data_centres, PAIRED_REGIONS)
+        self.assertTrue(watches[5].is_watcher(group.now_ms))
+        self.assertEqual([], watches[5].readers(group.now_ms))
+        watching = [n for n in range(5) if watches[n].is_watcher(group.now_ms)]
+        self.assertEqual(WATCHERS, len(watching))
+
     def test_two_of_each_data_centre_watch_and_tell_all_others_there(self):
         group, watches = self.build(30)
         watching = [n for n, watch in enumerate(watches) if watch.is_watcher(group.now_ms)]
