Share far shards out by the blocks of their region, among few gatherers

Cause, from the logs: one peer got all 29 far shards and asked them over cold connections; and in a data centre of three instances all three were gatherers of every block, so all connected to all upstreams. Change: far shards of a query over more than 40 shards go to the gatherers of the blocks over there, the same that callers of that region use; one gatherer for each three instances of a data centre, three at the most; who does not answer is replaced by the next in rank; how many blocks a data centre has follows from its shards, no longer from those that one query happens to ask there.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegation_plan.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegation_plan.py
@@ -1,7 +1,9 @@
 """Choose the peers that ask some of a query's shards."""
 
-from collections.abc import Iterable, Sequence
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from itertools import islice
 from math import ceil
 from random import Random
 
@@ -17,16 +19,21 @@
 reply weigh about as much as one and a half requests with their answers."""
 
 MOST_OWN_SHARDS = 40
-"""Shards near by that an instance asks by itself. Their answers take ten milliseconds of a small
-machine's link and processor; those of ninety shards take a third of the shortest goals."""
+"""Shards near by that an instance asks by itself; queries over more are cut into blocks. Their
+answers take ten milliseconds of a small machine's link and processor; those of ninety shards take
+a third of the shortest goals."""
 
 BLOCK_SHARDS = 24
-"""Shards that one peer is asked for when there are more of them near by."""
+"""Shards of a data centre that one peer is asked for when a query is cut into blocks."""
 
 GATHERERS = 3
 """Peers that ask the same block of shards: few enough to keep their connections warm and to see
 pauses that the others would each find out, and enough to share the load and to fail."""
 
+INSTANCES_PER_GATHERER = 3
+"""Instances of a data centre for each gatherer of a block. With as many gatherers as instances
+all would connect to all upstreams, and each connection would be too seldom used to stay open."""
+
 MOST_TAKEN_GOAL_SHARE = 0.6
 """Part of the goal in which a peer's word has to be due: if it never comes, the upstreams are
 asked from here, which takes the rest. The tightest of today's goals needs 0.53 (150 ms, 20 ms
@@ -74,7 +81,15 @@
     the same for all instances as far as their views agree; a different view only costs warmth.
     """
 
-    __slots__ = ("_directory", "_fleet", "_looked_ms", "_near", "_random", "_settings")
+    __slots__ = (
+        "_directory",
+        "_fleet",
+        "_looked_ms",
+        "_near",
+        "_random",
+        "_ranked",
+        "_settings",
+    )
 
     def __init__(
         self,
@@ -88,6 +103,7 @@
         self._directory = directory
         self._random = random
         self._near: dict[str, dict[str, KnownPeer]] = {}
+        self._ranked: dict[tuple[str, str], list[str]] = {}
         self._looked_ms = float("-inf")
 
     def assign(
@@ -100,14 +116,17 @@
         """
         if opened.request.is_delegated:
             return []
-        near, far = [], []
+        near: dict[str, list[Leg]] = {}
+        far: list[Leg] = []
         for leg, upstream in chosen:
             if self._region_of(upstream.data_centre) == self._settings.region:
-                near.append((leg, upstream))
+                near.setdefault(upstream.data_centre, []).append(leg)
             elif not self._has_near(leg.service):
                 far.append(leg)
-        found = self._assign_far(opened, far, now_ms)
-        if len(near) > MOST_OWN_SHARDS:
+        if len(opened.legs) <= MOST_OWN_SHARDS:
+            return self._assign_far(opened, far, now_ms)
+        found = self._assign_blocks(opened, self._place_far(opened, far), now_ms)
+        if sum(map(len, near.values())) > MOST_OWN_SHARDS:
             found += self._assign_blocks(opened, near, now_ms)
         return found
 
@@ -133,23 +152,39 @@
                 return [Assignment(peer, groups[self._region_of(peer.contact.data_centre)])]
         return []
 
+    def _place_far(self, opened: OpenRequest, legs: Sequence[Leg]) -> dict[str, list[Leg]]:
+        """Return, by data centre, the far shards that the region with most of them holds.
+
+        One peer for all of them would be as late as an instance that asks a whole index.
+        """
+        groups = self._group_by_region(legs, opened.route)
+        if not groups:
+            return {}
+        most = max(map(len, groups.values()))
+        region = self._random.choice([name for name, legs in groups.items() if len(legs) == most])
+        placed: dict[str, list[Leg]] = {}
+        for leg in groups[region]:
+            data_centre = min(
+                record.data_centre
+                for record in self._fleet.usable(leg.service)
+                if self._region_of(record.data_centre) == region
+            )
+            placed.setdefault(data_centre, []).append(leg)
+        return placed
+
     def _assign_blocks(
-        self,
-        opened: OpenRequest,
-        near: Sequence[tuple[Leg, UpstreamRecord]],
-        now_ms: float,
+        self, opened: OpenRequest, legs_by_place: dict[str, list[Leg]], now_ms: float
     ) -> list[Assignment]:
-        """Return the peers that should ask blocks of the shards near by.
+        """Return the peers that should ask blocks of shards beside their upstreams.
 
         A shard is in the same block whatever else is asked, so that the gatherers of a block
         keep their connections.
         """
-        by_data_centre: dict[str, list[Leg]] = {}
-        for leg, upstream in near:
-            by_data_centre.setdefault(upstream.data_centre, []).append(leg)
+        sizes = self._sizes_by_place(opened)
         found = []
-        for data_centre, legs in by_data_centre.items():
-            for block, members in _blocks_of(legs).items():
+        for data_centre, legs in legs_by_place.items():
+            count = ceil(sizes[data_centre] / BLOCK_SHARDS)
+            for block, members in _blocks_of(legs, count).items():
                 if len(members) < LEAST_LEGS:
                     continue
                 peer = self._find_gatherer(block, data_centre, opened, now_ms)
@@ -157,25 +192,47 @@
                     found.append(Assignment(peer, members))
         return found
 
+    def _sizes_by_place(self, opened: OpenRequest) -> Counter[str]:
+        """Return how many shards of a query have an upstream in each data centre."""
+        return Counter(
+            data_centre
+            for leg in opened.legs
+            for data_centre in {record.data_centre for record in self._fleet.usable(leg.service)}
+        )
+
     def _find_gatherer(
         self, block: str, data_centre: str, opened: OpenRequest, now_ms: float
     ) -> KnownPeer | None:
         """Return the peer for a block; None when this instance is one of its gatherers itself."""
         peers = self._peers_near(data_centre, now_ms)
-        names = list(peers)
-        if data_centre == self._settings.data_centre:
-            names.append(self._settings.instance_id)
-        gatherers = rank_by_rendezvous(block, names)[:GATHERERS]
-        if self._settings.instance_id in gatherers:
+        ranked = self._rank(block, data_centre, peers)
+        count = max(1, min(GATHERERS, len(ranked) // INSTANCES_PER_GATHERER))
+        own_id = self._settings.instance_id
+        able = (
+            name for name in ranked if name == own_id or self._may_ask(peers[name], opened, now_ms)
+        )
+        gatherers = list(islice(able, count))
+        if own_id in gatherers:
             return None
-        able = [peers[name] for name in gatherers if self._may_ask(peers[name], opened, now_ms)]
-        return min(able, key=self._load_of, default=None)
+        return min((peers[name] for name in gatherers), key=self._load_of, default=None)
+
+    def _rank(self, block: str, data_centre: str, peers: Mapping[str, KnownPeer]) -> list[str]:
+        """Return the instances of a data centre, first those that should gather a block."""
+        ranked = self._ranked.get((data_centre, block))
+        if ranked is None:
+            names = list(peers)
+            if data_centre == self._settings.data_centre:
+                names.append(self._settings.instance_id)
+            ranked = rank_by_rendezvous(block, names)
+            self._ranked[data_centre, block] = ranked
+        return ranked
 
     def _peers_near(self, data_centre: str, now_ms: float) -> dict[str, KnownPeer]:
         """Return the peers of a data centre that have lately been reached, by name."""
         if now_ms - self._looked_ms >= LOOK_MS:
             self._looked_ms = now_ms
             self._near = {}
+            self._ranked.clear()
             for peer in self._directory.reached(now_ms):
                 contact = peer.contact
                 self._near.setdefault(contact.data_centre, {})[contact.instance_id] = peer
@@ -230,9 +287,8 @@
         return self._settings.regions.get(data_centre)
 
 
-def _blocks_of(legs: Sequence[Leg]) -> dict[str, list[Leg]]:
-    """Return the shards of a data centre by the name of their block."""
-    count = ceil(len(legs) / BLOCK_SHARDS)
+def _blocks_of(legs: Iterable[Leg], count: int) -> dict[str, list[Leg]]:
+    """Return shards by the name of their block, which is one of ``count``."""
     blocks: dict[str, list[Leg]] = {}
     for leg in legs:
         blocks.setdefault(f"{hash_text(leg.service) % count}/{count}", []).append(leg)
--- /dev/null
+++ b/packages/geraniumlead/tests/core_tests/forwarding/fleet_harness.py
@@ -0,0 +1,116 @@
+"""Drive a fleet of forwarders in virtual time; letters between them take their way."""
+
+from collections import defaultdict
+from collections.abc import Sequence
+
+from core_tests.forwarding.builders import build_answer, build_settings
+from core_tests.forwarding.harness import ForwarderHarness
+from geraniumlead.forwarding import PeerHeard, PublishedNews, StartAttempt
+from geraniumlead.peering import PeeringMessage, decode_peering, encode_peering
+from geraniumlead.peering.peer_letter import PeerLetter
+
+HIGH = bytes([9]) * 16
+SEED_ADDRESS = "10.0.0.1:1"
+STEP_MS = 10.0
+
+
+def address_of(number: int) -> str:
+    return f"10.0.{number // 200}.{number % 200 + 1}:1"
+
+
+class FleetHarness:
+    """Hold one forwarder for each named data centre, by its address.
+
+    Letters of those in ``silent`` are lost both ways; those sent by one in ``slow_ms`` take so
+    much longer.
+    """
+
+    def __init__(self, data_centres: Sequence[str], **settings) -> None:
+        self.members: dict[str, ForwarderHarness] = {}
+        self._names: dict[str, str] = {}
+        for number, data_centre in enumerate(data_centres):
+            address = address_of(number)
+            self._names[address] = f"entry-{number + 1}"
+            found = build_settings(
+                self._names[address],
+                address=address,
+                data_centre=data_centre,
+                seeds=(SEED_ADDRESS,),
+                **settings,
+            )
+            self.members[address] = ForwarderHarness(found, seed=number + 1)
+        self.now_ms = 0.0
+        self.silent: set[str] = set()
+        self.slow_ms: dict[str, float] = {}
+        self._late: list[tuple[float, str, str, PeeringMessage]] = []
+
+    def publish(self, news: PublishedNews) -> None:
+        for member in self.members.values():
+            member.handle(news)
+
+    def run_until(self, until_ms: float) -> None:
+        while self.now_ms < until_ms:
+            self.now_ms = min(until_ms, self.now_ms + STEP_MS)
+            for member in self.members.values():
+                member.run_until(self.now_ms)
+            self.deliver()
+
+    def deliver(self) -> None:
+        """Pass on all letters that have arrived, and what is said in answer."""
+        self._deliver_late()
+        while any(member.letters for member in self.members.values()):
+            for address, member in self.members.items():
+                letters, member.letters = member.letters, []
+                for letter in letters:
+                    self._send(address, letter)
+
+    def ask(self, address: str, key: int, **changes) -> list[PeerLetter]:
+        """Ask one instance; return the letters that it wrote."""
+        member = self.members[address]
+        written = len(member.letters)
+        member.ask(key, **changes)
+        return member.letters[written:]
+
+    def answer_all(self) -> None:
+        """Let every attempt that is out succeed, and pass on what follows."""
+        for address in self.members:
+            self.answer(address)
+        self.deliver()
+
+    def answer(self, address: str) -> list[StartAttempt]:
+        """Let the attempts of one instance succeed; return them."""
+        member = self.members[address]
+        started, member.started = member.started, []
+        if address in self.silent:
+            return []
+        for attempt in started:
+            member.end(attempt, build_answer(HIGH, signature=attempt.upstream.service))
+        return started
+
+    def started(self) -> dict[str, int]:
+        return {address: len(member.started) for address, member in self.members.items()}
+
+    def askers(self) -> dict[str, set[str]]:
+        """Return, by the upstream, the addresses of the instances whose attempts are out."""
+        found: dict[str, set[str]] = defaultdict(set)
+        for address, member in self.members.items():
+            for attempt in member.started:
+                found[attempt.upstream.upstream_id].add(address)
+        return found
+
+    def _send(self, address: str, letter: PeerLetter) -> None:
+        if address in self.silent or letter.address in self.silent:
+            return
+        message = decode_peering(encode_peering(letter.message))
+        late_ms = self.slow_ms.get(address, 0.0)
+        if late_ms:
+            due_ms = self.now_ms + late_ms
+            self._late.append((due_ms, letter.address, self._names[address], message))
+        else:
+            self.members[letter.address].handle(PeerHeard(self._names[address], message))
+
+    def _deliver_late(self) -> None:
+        due = [entry for entry in self._late if entry[0] <= self.now_ms]
+        self._late = [entry for entry in self._late if entry[0] > self.now_ms]
+        for _, address, sender_id, message in sorted(due, key=lambda entry: entry[0]):
+            self.members[address].handle(PeerHeard(sender_id, message))
