Let a peer that is slow to say its word still bring its block

Cause: a peer on a slow processor that opens connections says its word after 100 to 200 ms. It was given two ways and 40 ms, its work was cancelled (which closes its connections), its whole block was asked from here over cold connections, and that spent the budget, without which the next silence was a failure: lateness made work. Change: after the patience the peer goes on. Its shards are asked beside it as far as the late parts' share of the budget goes, and it is told to send none of them again (a route allows so many upstreams); who answers first counts, and a block that comes takes the place of parts that it holds. Given up is only a peer without a reply 40 ms after the goal. The patience follows the latest words (1.5 times their 95th percentile, 0.6 of the goal at the most), and a timer that fired late is set once more, since the word may wait in this loop.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegate_desk.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegate_desk.py
@@ -41,6 +41,10 @@
             shards=message.shards,
         )
 
+    def find_key(self, sender_id: str, number: int) -> int | None:
+        """Return the key of a peer's request; None when it has ended."""
+        return self._keys.get((sender_id, number))
+
     def take_key(self, sender_id: str, number: int) -> int | None:
         """Take out a peer's request that nobody waits for; return its key."""
         key = self._keys.pop((sender_id, number), None)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegated_legs.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegated_legs.py
@@ -21,7 +21,10 @@
     __slots__ = ("_actions", "_legs", "_plan", "delegations", "desk")
 
     def __init__(
-        self, plan: DelegationPlan, legs: LegSender, actions: list[ForwardingAction]
+        self,
+        plan: DelegationPlan,
+        legs: LegSender,
+        actions: list[ForwardingAction],
     ) -> None:
         self._plan = plan
         self.delegations = Delegations()
@@ -49,10 +52,12 @@
         records = reply.records
         for place, leg in enumerate(delegation.legs):
             signature = signatures.get(place)
-            if signature is not None and not leg.is_settled:
-                # The records are those of all the peer's shards; they are merged once.
+            if signature is not None:
+                # The records are those of all the peer's shards; they are merged once, in place
+                # of the answer of any shard that was asked from here as well.
                 answer = Completed(OK, (), records, signature)
                 delegation.opened.settle_answered(leg, answer)
+                self._legs.cancel_leg(leg, now_ms)
                 records = b""
         if reply.is_final:
             why = "declined" if reply.is_declined else "missing at the peer"
@@ -63,10 +68,22 @@
             }
             self._ask_from_here(delegation, tried, why, now_ms)
 
+    def ask_beside(self, delegation: Delegation, now_ms: float) -> None:
+        """Ask shards from here as well while the peer may still bring them.
+
+        It may have sent each of them once, and only its word is late or lost. It is told to
+        send none again: together they would reach more upstreams than the route allows.
+        """
+        self._actions.append(self.delegations.shared_letter(delegation))
+        missing = [leg for leg in delegation.legs if not leg.is_settled]
+        for leg in missing:
+            self._legs.note_tried(leg, (None,))
+        self._legs.ask_beside(missing, now_ms)
+
     def take_back(self, delegation: Delegation, why: str, now_ms: float) -> None:
-        """Ask the shards from here of which a peer said nothing."""
-        # It may have sent each of them once, and only its word is late or lost.
-        tried = {leg.service: (None,) for leg in delegation.legs}
+        """Ask the shards from here that a peer no longer brings."""
+        is_counted = delegation.has_late_word
+        tried = {} if is_counted else {leg.service: (None,) for leg in delegation.legs}
         self._ask_from_here(delegation, tried, why, now_ms)
 
     def report(self, opened: OpenRequest) -> None:
@@ -100,5 +117,7 @@
     ) -> None:
         missing = [leg for leg in delegation.legs if not leg.is_settled]
         for leg in missing:
+            leg.is_delegated = False
             self._legs.note_tried(leg, tried.get(leg.service, ()))
-        self._legs.ask_again(delegation.opened, missing, why, now_ms)
+        unasked = [leg for leg in missing if not leg.open_attempts]
+        self._legs.ask_again(delegation.opened, unasked, why, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from geraniumlead.forwarding.delegation_plan import LEAST_GOAL_LEFT_MS
+from geraniumlead.forwarding.delegation_plan import LEAST_GOAL_LEFT_MS, MOST_TAKEN_GOAL_SHARE
 from geraniumlead.forwarding.open_request import Leg, OpenRequest
 from geraniumlead.forwarding.own_delay import DelaySamples
 from geraniumlead.forwarding.wake_times import WakeTimes
@@ -10,7 +10,9 @@
     DelegatedReply,
     DelegatedRequest,
     DelegationCancelled,
+    DelegationShared,
     KnownPeer,
+    PeeringMessage,
 )
 from geraniumlead.peering.peer_letter import PeerLetter
 from geraniumlead.routes import FanOut, Route
@@ -22,12 +24,20 @@
 """What the peer's own work takes from the goal."""
 
 
+WORD_DELAY_FACTOR = 1.5
+"""How much longer than the high quantile of the latest words a peer's word may take."""
+
+BUSY_MS = 5.0
+"""Lateness of a timer from which on messages may be waiting in this instance's own loop."""
+
+
 @dataclass(slots=True)
 class Delegation:
     """Shards of a request that a peer was asked to ask.
 
     ``due_ms`` is when it has to have said something, ``report_ms`` when what it has at its goal
-    should be here, ``reply_due_ms`` when it counts as dead without that.
+    should be here, ``reply_due_ms`` when it counts as dead without that. ``has_late_word`` says
+    that its shards were asked from here as well, since it said nothing in time.
     """
 
     number: int
@@ -37,7 +47,10 @@
     due_ms: float
     report_ms: float
     reply_due_ms: float
+    asked_ms: float
     is_taken: bool = False
+    has_late_word: bool = False
+    was_extended: bool = False
 
     def leg_at(self, place: int) -> Leg | None:
         """Return the shard at a place in the request to the peer; None when there is none."""
@@ -49,15 +62,21 @@
 
     Failure: the peer is gone, or the way to it. It has to say at once that it took the
     request; without that the shards are asked from here while the goal can still be met.
+
+    Failure: the peer is only slow, for it opens its connections or all of the fleet is busy.
+    Given up, its work was lost, the shards were asked anew over cold connections, and the budget
+    of all was spent on it, so that the next queries failed. It may still reply until the goal,
+    and its word is waited for as long as the latest words took.
     """
 
-    __slots__ = ("_next", "_open", "_reply_delay", "_wakes")
+    __slots__ = ("_next", "_open", "_reply_delay", "_wakes", "_word_delay")
 
     def __init__(self) -> None:
         self._open: dict[int, Delegation] = {}
         self._wakes = WakeTimes()
         self._next = 0
         self._reply_delay = DelaySamples()
+        self._word_delay = DelaySamples()
 
     def start(
         self, opened: OpenRequest, legs: list[Leg], peer: KnownPeer, now_ms: float
@@ -72,10 +91,12 @@
         if goal_left_ms < LEAST_GOAL_LEFT_MS:
             # It will be late in any case, and then only needs enough shards.
             goal_left_ms = time_left_ms - way_ms
-        due_ms = now_ms + peer.word_ms
+        due_ms = now_ms + self._word_patience_ms(peer, opened.goal_ms - now_ms, now_ms)
         report_ms = now_ms + goal_left_ms + 2.0 * way_ms
         reply_due_ms = due_ms + goal_left_ms + REPLY_SLACK_MS
-        delegation = Delegation(self._next, opened, legs, peer, due_ms, report_ms, reply_due_ms)
+        delegation = Delegation(
+            self._next, opened, legs, peer, due_ms, report_ms, reply_due_ms, now_ms
+        )
         self._open[delegation.number] = delegation
         self._wakes.add(due_ms, delegation.number)
         peer.open_delegations += 1
@@ -97,7 +118,13 @@
         )
         return PeerLetter(peer.contact.instance_id, peer.contact.address, message)
 
-    def note_taken(self, number: int) -> None:
+    def _word_patience_ms(self, peer: KnownPeer, goal_left_ms: float, now_ms: float) -> float:
+        """Return how long a peer may take to say that it serves a request."""
+        delay_ms = WORD_DELAY_FACTOR * self._word_delay.high_ms(now_ms)
+        usual_ms = 2.0 * peer.usual_way_ms + delay_ms
+        return max(peer.word_ms, min(usual_ms, MOST_TAKEN_GOAL_SHARE * goal_left_ms))
+
+    def note_taken(self, number: int, now_ms: float) -> None:
         """Note that a peer serves a request; from now on it has until the goal to reply.
 
         Failure: the peer dies after its word. Without a second time the request would wait
@@ -107,8 +134,15 @@
         if delegation is None or delegation.is_taken:
             return
         delegation.is_taken = True
-        delegation.due_ms = delegation.reply_due_ms
-        self._wakes.add(delegation.due_ms, number)
+        if delegation.has_late_word:
+            delegation.peer.silent_ms = None
+        word_ms = now_ms - delegation.asked_ms
+        self._word_delay.note(word_ms - 2.0 * delegation.peer.usual_way_ms, now_ms)
+        self._set_due(delegation, delegation.reply_due_ms)
+
+    def _set_due(self, delegation: Delegation, due_ms: float) -> None:
+        delegation.due_ms = due_ms
+        self._wakes.add(due_ms, delegation.number)
 
     def take_reply(self, number: int, reply: DelegatedReply, now_ms: float) -> Delegation | None:
         """Return the delegation that a reply is for, and take it out with the final one.
@@ -141,27 +175,46 @@
         taken = [self.take(number) for number in sorted(opened.delegations)]
         return [self._cancel_letter(found) for found in taken if found is not None]
 
-    def take_overdue(self, now_ms: float) -> list[tuple[Delegation, PeerLetter]]:
-        """Take out what peers did not take in time, and what they are told."""
-        overdue = []
+    def take_overdue(self, now_ms: float) -> list[tuple[Delegation, PeerLetter | None]]:
+        """Return what peers said nothing of in time, and what they are told.
+
+        Without a letter only the word is overdue, and the peer may still reply.
+        """
+        overdue: list[tuple[Delegation, PeerLetter | None]] = []
         while (due := self._wakes.take_due(now_ms)) is not None:
             due_ms, number = due
             delegation = self._open.get(number)
             if delegation is None or delegation.due_ms != due_ms:
                 continue
-            self.take(number)
+            if now_ms - due_ms > BUSY_MS and not delegation.was_extended:
+                # This loop was busy, and what the peer said may wait in it.
+                delegation.was_extended = True
+                self._set_due(delegation, now_ms + (now_ms - due_ms))
+                continue
             # Nothing more is passed to it until it is heard again.
             delegation.peer.silent_ms = now_ms
-            overdue.append((delegation, self._cancel_letter(delegation)))
+            if delegation.is_taken or delegation.has_late_word:
+                self.take(number)
+                overdue.append((delegation, self._cancel_letter(delegation)))
+            else:
+                delegation.has_late_word = True
+                self._set_due(delegation, delegation.reply_due_ms)
+                overdue.append((delegation, None))
         return overdue
 
     def next_wake_ms(self) -> float:
         """Return when ``take_overdue`` has something to do."""
         return self._wakes.next_ms()
 
+    def shared_letter(self, delegation: Delegation) -> PeerLetter:
+        """Return what a peer is told whose shards are asked from here as well."""
+        return self._letter(delegation, DelegationShared(delegation.number))
+
     def _cancel_letter(self, delegation: Delegation) -> PeerLetter:
+        return self._letter(delegation, DelegationCancelled(delegation.number))
+
+    def _letter(self, delegation: Delegation, message: PeeringMessage) -> PeerLetter:
         contact = delegation.peer.contact
-        message = DelegationCancelled(delegation.number)
         return PeerLetter(contact.instance_id, contact.address, message)
 
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/leg_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/leg_sender.py
@@ -92,6 +92,23 @@
             else:
                 opened.settle_failed(leg, f"{why}, no budget", now_ms)
 
+    def ask_beside(self, legs: list[Leg], now_ms: float) -> None:
+        """Ask shards as well that a peer may still bring.
+
+        Only late parts' share of the budget is used: all of it spent on one slow peer, the parts
+        that fail in the next seconds could not be sent again.
+        """
+        for leg in legs:
+            if not self._book.budgets.may_repeat_late(leg.service, now_ms):
+                continue
+            upstream = self._book.choose(leg, now_ms, only_good=True)
+            if upstream is not None:
+                self._book.send_again(leg, upstream, "peer's word is late", now_ms)
+
+    def cancel_leg(self, leg: Leg, now_ms: float) -> None:
+        """Stop what is out for a shard that a peer has brought."""
+        self._book.cancel(leg, now_ms)
+
     def note_tried(self, leg: Leg, upstream_ids: Sequence[str | None]) -> None:
         """Count what a peer has sent for a shard."""
         leg.sent_to += upstream_ids
@@ -136,6 +153,8 @@
 
     def repeat_late(self, opened: OpenRequest, now_ms: float) -> None:
         """Send again the parts whose only attempt is late."""
+        if opened.is_shared:
+            return
         for leg in opened.legs:
             if leg.is_settled or len(leg.open_attempts) != 1:
                 continue
@@ -172,7 +191,7 @@
 
     def _follow_failure(self, leg: Leg, result: AttemptResult, why: str, now_ms: float) -> None:
         """Send a failed leg again where that is allowed; else settle it."""
-        if leg.open_attempts:
+        if leg.open_attempts or leg.is_delegated:
             return
         opened = leg.request
         is_repeatable = opened.route.is_idempotent or not leg.may_have_run
@@ -182,7 +201,9 @@
             is_repeatable = False
         if is_repeatable and now_ms < opened.end_ms:
             is_free = isinstance(result, NotReached)
-            if is_free or self._book.budgets.may_repeat_failed(leg.service, now_ms):
+            if opened.is_shared and not is_free:
+                why = f"{why}, asked elsewhere"
+            elif is_free or self._book.budgets.may_repeat_failed(leg.service, now_ms):
                 upstream = self._book.choose(leg, now_ms)
                 if upstream is not None:
                     self._resend(leg, upstream, why, is_free, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
@@ -32,7 +32,7 @@
     """The part of a request that goes to one service: all of it, or one shard.
 
     ``sent_to`` holds an entry for each sending that may have arrived, also those of a peer;
-    None stands for one that the peer did not name.
+    None stands for one that the peer did not name. ``is_delegated`` says that a peer asks it.
     """
 
     request: "OpenRequest"
@@ -60,6 +60,7 @@
 
     ``goal_ms`` is when the reply should leave; the caller has it in time up to ``margin_ms``
     later. ``view_age_ms`` is how old what is known of upstreams and routes was at the start.
+    ``is_shared`` says that the peer it came from asks the shards as well.
     """
 
     request: ForwardedRequest
@@ -76,6 +77,7 @@
     extra: int = 0
     delegations: set[int] = field(default_factory=set)
     is_reported: bool = False
+    is_shared: bool = False
     notes: list[dict] = field(default_factory=list)
 
     @property
@@ -111,10 +113,12 @@
         return next((leg.failure for leg in self.legs if leg.failure is not None), "unanswered")
 
     def settle_answered(self, leg: Leg, answer: Completed) -> None:
-        """Take over a leg's answer."""
-        leg.answer = answer
-        self.settled += 1
-        self.answered += 1
+        """Take over a leg's answer, in place of any that it has."""
+        if not leg.is_settled:
+            self.settled += 1
+        if leg.answer is None:
+            self.answered += 1
+        leg.answer, leg.failure = answer, None
 
     def settle_failed(self, leg: Leg, why: str, now_ms: float) -> None:
         """Give a leg up."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
@@ -9,6 +9,7 @@
     DelegatedReply,
     DelegatedRequest,
     DelegationCancelled,
+    DelegationShared,
     DelegationTaken,
     Farewell,
     Hello,
@@ -60,28 +61,32 @@
             case DelegatedRequest():
                 self._serve(sender_id, message, now_ms, is_ready)
             case DelegationTaken(number=number):
-                self._runner.delegated.delegations.note_taken(number)
+                self._runner.delegated.delegations.note_taken(number, now_ms)
             case DelegatedReply(number=number):
                 delegation = self._runner.delegated.delegations.take_reply(number, message, now_ms)
                 if delegation is not None:
                     self._runner.take_delegated(delegation, message, now_ms)
             case CrashNotice(fingerprint=fingerprint, upstream_ids=upstream_ids):
                 self._runner.crashes.hear(fingerprint, upstream_ids, now_ms)
-            case DelegationCancelled(number=number):
-                key = self._runner.delegated.desk.take_key(sender_id, number)
-                if key is not None:
-                    self._runner.drop(key, now_ms)
+            case DelegationCancelled() | DelegationShared():
+                self._follow_sender(sender_id, message, now_ms)
 
     def wake(self, now_ms: float, is_ready: bool) -> None:
         """Say hello where it is due, and ask what peers did not take."""
         self._actions += self.directory.take_letters(self._version(), is_ready, now_ms)
         for delegation, letter in self._runner.delegated.delegations.take_overdue(now_ms):
-            self._actions.append(letter)
-            peer_id = delegation.peer.contact.instance_id
-            request_id = delegation.opened.request.request_id
-            fields = {"peer": peer_id, "request_id": request_id}
+            fields = {
+                "peer": delegation.peer.contact.instance_id,
+                "request_id": delegation.opened.request.request_id,
+                "waited_ms": round(now_ms - delegation.asked_ms, 1),
+                "is_given_up": letter is not None,
+            }
             self._actions.append(LogDecision("peer_silent", fields, "warning"))
-            self._runner.take_back(delegation, "peer silent", now_ms)
+            if letter is None:
+                self._runner.ask_beside(delegation, now_ms)
+            else:
+                self._actions.append(letter)
+                self._runner.take_back(delegation, "peer silent", now_ms)
         for fingerprint, upstream_ids in self._runner.crashes.take_told().items():
             notice = CrashNotice(fingerprint, upstream_ids)
             for peer in self.directory.live(now_ms)[:MOST_TOLD]:
@@ -119,6 +124,21 @@
         request = self._runner.delegated.desk.accept(sender_id, message, now_ms)
         self._runner.start(request, route, configuration, now_ms)
 
+    def _follow_sender(
+        self, sender_id: str, message: DelegationCancelled | DelegationShared, now_ms: float
+    ) -> None:
+        """Take in what becomes of a request that is served for a peer."""
+        desk = self._runner.delegated.desk
+        match message:
+            case DelegationCancelled(number=number):
+                key = desk.take_key(sender_id, number)
+                if key is not None:
+                    self._runner.drop(key, now_ms)
+            case DelegationShared(number=number):
+                key = desk.find_key(sender_id, number)
+                if key is not None:
+                    self._runner.note_shared(key)
+
     def _count_instances(self, now_ms: float) -> None:
         count = self.directory.count(now_ms)
         live = [peer.contact.instance_id for peer in self.directory.live(now_ms)]
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -148,6 +148,11 @@
         self.delegated.take_reply(delegation, reply, now_ms)
         self._go_on(delegation.opened, now_ms)
 
+    def ask_beside(self, delegation: Delegation, now_ms: float) -> None:
+        """Ask shards from here as well of which a peer has not said that it asks them."""
+        self.delegated.ask_beside(delegation, now_ms)
+        self._go_on(delegation.opened, now_ms)
+
     def take_back(self, delegation: Delegation, why: str, now_ms: float) -> None:
         """Ask the shards from here of which a peer said nothing."""
         self.delegated.take_back(delegation, why, now_ms)
@@ -165,6 +170,12 @@
             self._arm_leg(leg, now_ms)
         self._send_waiting(leg.service, now_ms)
 
+    def note_shared(self, key: int) -> None:
+        """Note that the sender of a peer's request asks its shards as well."""
+        opened = self._open.get(key)
+        if opened is not None:
+            opened.is_shared = True
+
     def drop(self, key: int, now_ms: float) -> None:
         """Forget a request whose caller left, and stop all work for it."""
         opened = self._open.pop(key, None)
--- a/packages/geraniumlead/src/geraniumlead/peering/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -104,6 +104,12 @@
     number: int
 
 
+class DelegationShared(Struct, frozen=True, array_like=True, tag="shared"):
+    """Say that the sender now asks the shards itself as well, so the peer sends none again."""
+
+    number: int
+
+
 class CrashNotice(Struct, frozen=True, array_like=True, tag="crashes"):
     """Say that upstreams were lost while they ran a request that none has answered."""
 
@@ -154,6 +160,7 @@
     | DelegationTaken
     | DelegatedReply
     | DelegationCancelled
+    | DelegationShared
     | CrashNotice
     | StateWanted
     | StoreNews
