Let instances that have not met yet agree on who gathers a block

A beat reaches six peers, so of 195 instances each has met some ninety when traffic begins. Cause: gatherers were ranked among those that had echoed a hello, so each instance passed the same block to others; a peer heard for the first time counted as just started for a second; and a peer whose way was not measured was taken for 40 ms away, too far for the shortest goal. Change: peers that are known by name only may be asked, unless they were silent before; the request then names its sender, so that the reply finds its way; a hello tells how long its sender runs; the way to a peer that was not measured is the shortest to others of its data centre.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegated_legs.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegated_legs.py
@@ -10,7 +10,7 @@
 from geraniumlead.forwarding.leg_sender import LegSender
 from geraniumlead.forwarding.open_request import Leg, OpenRequest
 from geraniumlead.forwarding.results import Completed
-from geraniumlead.peering import DelegatedReply
+from geraniumlead.peering import DelegatedReply, PeerContact
 
 OK = 200
 
@@ -25,9 +25,10 @@
         plan: DelegationPlan,
         legs: LegSender,
         actions: list[ForwardingAction],
+        own_contact: PeerContact,
     ) -> None:
         self._plan = plan
-        self.delegations = Delegations()
+        self.delegations = Delegations(own_contact)
         self.desk = DelegateDesk()
         self._legs = legs
         self._actions = actions
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegation_plan.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegation_plan.py
@@ -145,7 +145,8 @@
                 peer
                 for peer in self._directory.peers.values()
                 if self._region_of(peer.contact.data_centre) in regions
-                and self._may_ask(peer, opened, now_ms)
+                and self._directory.is_reached(peer, now_ms)
+                and self._is_able(peer, opened, now_ms)
             ]
             if peers:
                 peer = min(peers, key=self._load_of)
@@ -209,7 +210,7 @@
         count = max(1, min(GATHERERS, len(ranked) // INSTANCES_PER_GATHERER))
         own_id = self._settings.instance_id
         able = (
-            name for name in ranked if name == own_id or self._may_ask(peers[name], opened, now_ms)
+            name for name in ranked if name == own_id or self._is_able(peers[name], opened, now_ms)
         )
         gatherers = list(islice(able, count))
         if own_id in gatherers:
@@ -228,26 +229,29 @@
         return ranked
 
     def _peers_near(self, data_centre: str, now_ms: float) -> dict[str, KnownPeer]:
-        """Return the peers of a data centre that have lately been reached, by name."""
+        """Return the peers of a data centre that may be asked, by name."""
         if now_ms - self._looked_ms >= LOOK_MS:
             self._looked_ms = now_ms
             self._near = {}
             self._ranked.clear()
-            for peer in self._directory.reached(now_ms):
-                contact = peer.contact
-                self._near.setdefault(contact.data_centre, {})[contact.instance_id] = peer
+            for peer in self._directory.peers.values():
+                if self._directory.may_be_asked(peer, now_ms):
+                    contact = peer.contact
+                    self._near.setdefault(contact.data_centre, {})[contact.instance_id] = peer
+            for peers in self._near.values():
+                _assume_ways(peers.values())
         return self._near.get(data_centre, {})
 
-    def _may_ask(self, peer: KnownPeer, opened: OpenRequest, now_ms: float) -> bool:
-        """Return whether a peer may be asked now."""
+    def _is_able(self, peer: KnownPeer, opened: OpenRequest, now_ms: float) -> bool:
+        """Return whether a peer would serve a request now, as far as it is known."""
         is_fresh = now_ms - peer.heard_ms < FRESH_HELLO_MS
-        is_able = peer.is_ready and peer.version >= opened.configuration.version
+        serves = peer.is_ready and peer.version >= opened.configuration.version
         return (
-            (is_able or not is_fresh)
+            (serves or not is_fresh)
             and now_ms - peer.declined_ms >= DECLINED_MS
             and now_ms - peer.began_ms >= NEW_PEER_MS
             and peer.open_delegations < MOST_OPEN
-            and self._directory.is_reached(peer, now_ms)
+            and self._directory.may_be_asked(peer, now_ms)
             and self._is_near_enough(peer, opened.goal_ms - now_ms)
         )
 
@@ -287,6 +291,13 @@
         return self._settings.regions.get(data_centre)
 
 
+def _assume_ways(peers: Iterable[KnownPeer]) -> None:
+    """Let peers of one data centre whose way was not measured have the shortest of the others."""
+    way_ms = min((peer.way_ms for peer in peers if peer.way_ms is not None), default=None)
+    for peer in peers:
+        peer.assumed_way_ms = way_ms
+
+
 def _blocks_of(legs: Iterable[Leg], count: int) -> dict[str, list[Leg]]:
     """Return shards by the name of their block, which is one of ``count``."""
     blocks: dict[str, list[Leg]] = {}
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
@@ -12,6 +12,7 @@
     DelegationCancelled,
     DelegationShared,
     KnownPeer,
+    PeerContact,
     PeeringMessage,
 )
 from geraniumlead.peering.peer_letter import PeerLetter
@@ -69,9 +70,10 @@
     and its word is waited for as long as the latest words took.
     """
 
-    __slots__ = ("_next", "_open", "_reply_delay", "_wakes", "_word_delay")
+    __slots__ = ("_next", "_open", "_own_contact", "_reply_delay", "_wakes", "_word_delay")
 
-    def __init__(self) -> None:
+    def __init__(self, own_contact: PeerContact) -> None:
+        self._own_contact = own_contact
         self._open: dict[int, Delegation] = {}
         self._wakes = WakeTimes()
         self._next = 0
@@ -115,6 +117,7 @@
             body=request.body,
             time_left_ms=time_left_ms,
             goal_left_ms=goal_left_ms,
+            sender=None if peer.told_ms > float("-inf") else self._own_contact,
         )
         return PeerLetter(peer.contact.instance_id, peer.contact.address, message)
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
@@ -114,6 +114,8 @@
     def _serve(
         self, sender_id: str, message: DelegatedRequest, now_ms: float, is_ready: bool
     ) -> None:
+        if message.sender is not None:
+            self.directory.introduce(message.sender, now_ms)
         configuration = self._published.configuration
         route = find_delegated_route(message, configuration)
         if route is None or configuration is None or not is_ready:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -66,7 +66,7 @@
         self.crashes = CrashBook()
         self._legs = LegSender(self._book, self.crashes)
         plan = DelegationPlan(settings, fleet, directory, random)
-        self.delegated = DelegatedLegs(plan, self._legs, actions)
+        self.delegated = DelegatedLegs(plan, self._legs, actions, directory.own_contact)
         self._open: dict[int, OpenRequest] = {}
         self._wakes = WakeTimes()
         self._services = RequestServices(random)
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -85,6 +85,11 @@
         self._random = random
         self.peers: dict[str, KnownPeer] = {}
 
+    @property
+    def own_contact(self) -> PeerContact:
+        """Return how others reach this instance."""
+        return self._contact
+
     @property
     def own_id(self) -> str:
         """Return the name of this instance."""
@@ -113,6 +118,20 @@
         """Return the peers that messages of this instance lately reached."""
         return [peer for peer in self.peers.values() if self.is_reached(peer, now_ms)]
 
+    def may_be_asked(self, peer: KnownPeer, now_ms: float) -> bool:
+        """Return whether a peer is reached, or nothing speaks against it that was never met.
+
+        Load pattern: a fleet of hundreds has just started, and a beat reaches six. With only
+        those asked whom it has met, each instance would pass the same work to others.
+        """
+        if peer.echoed_ms > float("-inf"):
+            return self.is_reached(peer, now_ms)
+        return peer.silent_ms is None and self.is_live(peer, now_ms)
+
+    def introduce(self, contact: PeerContact, now_ms: float) -> None:
+        """Take in a peer that asks for something before its first hello."""
+        self._learn(contact, now_ms)
+
     def live(self, now_ms: float) -> list[KnownPeer]:
         """Return the live peers."""
         return [peer for peer in self.peers.values() if self.is_live(peer, now_ms)]
@@ -175,8 +194,9 @@
         peer.contact = hello.contact
         peer.heard_ms = now_ms
         if peer.incarnation != hello.incarnation:
+            is_restart = peer.incarnation != 0
             peer.incarnation = hello.incarnation
-            peer.began_ms = now_ms
+            peer.began_ms = now_ms if is_restart else now_ms - hello.running_ms
             peer.clock_gap_ms = float("inf")
         peer.note_clock(hello.sent_ms, now_ms)
         peer.version = hello.version
@@ -299,4 +319,5 @@
             known,
             asks_names=peer is None,
             count=self._counts[-1][1] if self._counts else 1,
+            running_ms=now_ms - self._started_ms,
         )
--- a/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
@@ -22,9 +22,10 @@
     """Hold what a peer said of itself, and when it was heard.
 
     ``echoed_ms`` is this instance's clock in the latest hello that the peer has had of it;
-    ``count`` is how many instances the peer knows; ``began_ms`` is when its present life was
-    first heard of. ``clock_gap_ms`` is the least that this clock was ahead of the peer's when a
-    hello of its present life came: how far the clocks differ, and the time of the way.
+    ``count`` is how many instances the peer knows; ``began_ms`` is when its present life began,
+    or was heard of after another one. ``clock_gap_ms`` is the least that this clock was ahead of
+    the peer's when a hello of its present life came: how far the clocks differ, and the time of
+    the way. ``assumed_way_ms`` is the way to others of its data centre.
 
     Failure: a peer starts again, and the hellos to it wait while it loads. Taken into a mean,
     one such time made the way of 8 ms look like 200, and what was passed to the peer just
@@ -46,6 +47,7 @@
     is_ready: bool = False
     clock_ms: float | None = None
     clock_gap_ms: float = float("inf")
+    assumed_way_ms: float | None = None
     way_samples_ms: deque[float] = field(default_factory=lambda: deque(maxlen=WAY_SAMPLES))
     open_delegations: int = 0
     declined_ms: float = float("-inf")
@@ -63,8 +65,10 @@
     @property
     def usual_way_ms(self) -> float:
         """Return how long a message takes to the peer, or a guess."""
-        way_ms = self.way_ms
-        return UNKNOWN_WAY_MS if way_ms is None else way_ms
+        for way_ms in (self.way_ms, self.assumed_way_ms):
+            if way_ms is not None:
+                return way_ms
+        return UNKNOWN_WAY_MS
 
     @property
     def word_ms(self) -> float:
--- a/packages/geraniumlead/src/geraniumlead/peering/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -33,7 +33,8 @@
     ``sent_ms`` is the sender's clock; ``echo_ms`` repeats the receiver's last one and
     ``held_ms`` tells how long that was kept, so that the receiver learns the time of the way.
     ``known`` names some peers; one that has just started asks for them by ``asks_names``.
-    ``count`` is how many instances the sender counts, itself included.
+    ``count`` is how many instances the sender counts, itself included; ``running_ms`` is how long
+    ago it started.
     """
 
     contact: PeerContact
@@ -46,6 +47,7 @@
     known: tuple[PeerContact, ...] = ()
     asks_names: bool = False
     count: int = 1
+    running_ms: float = 0.0
 
 
 class Farewell(Struct, frozen=True, array_like=True, tag="farewell"):
@@ -59,6 +61,7 @@
 
     ``version`` is the configuration that the sender acts on; the peer declines with an older
     one. Its reply has to leave ``goal_left_ms`` after the message came, with what is in.
+    ``sender`` tells a peer that was never met where the reply goes.
     """
 
     number: int
@@ -74,6 +77,7 @@
     body: bytes
     time_left_ms: float
     goal_left_ms: float
+    sender: PeerContact | None = None
 
 
 class DelegationTaken(Struct, frozen=True, array_like=True, tag="taken"):
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_far_blocks.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_far_blocks.py
@@ -79,7 +79,7 @@
         With a peer of their own choice for far shards, each region kept other connections open
         to the same upstreams, and all of them were mostly cold.
         """
-        for instances in (18,):
+        for instances in (18, 36):
             for upstream_id, found in ask_all(build_fleet(instances)).items():
                 self.assertLessEqual(len(found), GATHERERS, (instances, upstream_id))
 
@@ -90,3 +90,32 @@
         """
         for upstream_id, found in ask_all(build_fleet(9)).items():
             self.assertEqual(1, len(found), upstream_id)
+
+    def test_instances_that_have_not_met_agree_on_who_gathers(self):
+        """A fleet of ninety started two seconds ago, and a beat reaches six peers.
+
+        Each instance chose among those that it had met, so nearly all of them opened connections
+        to nearly all upstreams in the first ten seconds.
+        """
+        fleet = build_fleet(90, run_ms=2_000.0)
+        askers = ask_all(fleet)
+        mean = sum(map(len, askers.values())) / len(askers)
+        self.assertLessEqual(mean, 2.0 * GATHERERS)
+        for member in fleet.members.values():
+            (reply,) = member.replies.values()
+            self.assertEqual(0, reply.missing)
+
+    def test_a_peer_that_was_never_met_can_reply(self):
+        """An instance is known by name only, and does not know who asks it."""
+        fleet = build_fleet(18)
+        entry, peer = fleet.members[address_of(0)], address_of(3)
+        del fleet.members[peer].forwarder._peers.directory.peers["entry-1"]
+        known = entry.forwarder._peers.directory.peers["entry-4"]
+        known.told_ms = known.heard_ms = known.echoed_ms = float("-inf")
+        known.mentioned_ms = fleet.now_ms
+        for key in range(1, 9):
+            fleet.ask(address_of(0), key)
+            fleet.deliver()
+            fleet.answer_all()
+            self.assertEqual(0, entry.replies[key].missing)
+        self.assertEqual(0, entry.forwarder.open_requests)
