Split gatherers, the refusal of crashing requests and the count of instances from grown files

Who may ask a block (Gatherers) is a question of its own beside how shards are shared out; so are the two others.

--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/crash_refusal.py
@@ -0,0 +1,21 @@
+"""Refuse a request that has crashed the upstreams that ran it."""
+
+from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, SendReply
+from geraniumlead.forwarding.closing import UNAVAILABLE
+from geraniumlead.forwarding.crash_book import QUARANTINE_MS
+from geraniumlead.forwarding.forwarded_request import ForwardedRequest
+from geraniumlead.forwarding.replies import OwnReply
+from geraniumlead.routes import Route
+
+
+def refuse_crashing(request: ForwardedRequest, route: Route) -> list[ForwardingAction]:
+    """Return the reply to such a request, and its line in the log."""
+    reply = OwnReply(UNAVAILABLE, "crashes_upstreams", QUARANTINE_MS)
+    fields = {
+        "request_id": request.request_id,
+        "route": route.name,
+        "status": reply.status,
+        "reason": reply.reason,
+        "fingerprint": f"{request.fingerprint:016x}",
+    }
+    return [SendReply(request.key, reply), LogDecision("request", fields, "warning")]
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegation_plan.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegation_plan.py
@@ -1,15 +1,15 @@
 """Choose the peers that ask some of a query's shards."""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from itertools import islice
 from math import ceil
 from random import Random
 
 from geraniumlead.fleet import FleetView, UpstreamRecord
+from geraniumlead.forwarding.gatherers import Gatherers
 from geraniumlead.forwarding.open_request import Leg, OpenRequest
-from geraniumlead.hashing import hash_text, rank_by_rendezvous
+from geraniumlead.hashing import hash_text
 from geraniumlead.peering import KnownPeer, PeerDirectory
 from geraniumlead.routes import Route
 from geraniumlead.settings.forwarding_settings import ForwardingSettings
@@ -26,39 +26,6 @@
 BLOCK_SHARDS = 24
 """Shards of a data centre that one peer is asked for when a query is cut into blocks."""
 
-GATHERERS = 3
-"""Peers that ask the same block of shards: few enough to keep their connections warm and to see
-pauses that the others would each find out, and enough to share the load and to fail."""
-
-INSTANCES_PER_GATHERER = 3
-"""Instances of a data centre for each gatherer of a block. With as many gatherers as instances
-all would connect to all upstreams, and each connection would be too seldom used to stay open."""
-
-MOST_TAKEN_GOAL_SHARE = 0.6
-"""Part of the goal in which a peer's word has to be due: if it never comes, the upstreams are
-asked from here, which takes the rest. The tightest of today's goals needs 0.53 (150 ms, 20 ms
-away)."""
-
-LEAST_GOAL_LEFT_MS = 10.0
-"""Time below which a peer can't bring anything before the goal; upstreams work for longer."""
-
-MOST_OPEN = 200
-"""Requests that one peer may have of this instance; more would only wait in its loop."""
-
-FRESH_HELLO_MS = 2_000.0
-"""Age up to which a hello tells whether its sender is ready and has a configuration. In a large
-fleet hellos are older than that, and a peer that is not ready declines at once."""
-
-DECLINED_MS = 1_000.0
-"""Time for which a peer that declined is not asked again."""
-
-NEW_PEER_MS = 1_000.0
-"""Time for which a peer that has just started is asked for nothing: it opens its connections to
-upstreams then, and its word came too late after every second start."""
-
-LOOK_MS = 250.0
-"""Time between two looks at all peers: in a fleet of thousands one takes milliseconds."""
-
 
 @dataclass(slots=True)
 class Assignment:
@@ -81,15 +48,7 @@
     the same for all instances as far as their views agree; a different view only costs warmth.
     """
 
-    __slots__ = (
-        "_directory",
-        "_fleet",
-        "_looked_ms",
-        "_near",
-        "_random",
-        "_ranked",
-        "_settings",
-    )
+    __slots__ = ("_directory", "_fleet", "_gatherers", "_random", "_settings")
 
     def __init__(
         self,
@@ -102,9 +61,7 @@
         self._fleet = fleet
         self._directory = directory
         self._random = random
-        self._near: dict[str, dict[str, KnownPeer]] = {}
-        self._ranked: dict[tuple[str, str], list[str]] = {}
-        self._looked_ms = float("-inf")
+        self._gatherers = Gatherers(settings, directory, random)
 
     def assign(
         self, opened: OpenRequest, chosen: Sequence[tuple[Leg, UpstreamRecord]], now_ms: float
@@ -146,10 +103,10 @@
                 for peer in self._directory.peers.values()
                 if self._region_of(peer.contact.data_centre) in regions
                 and self._directory.is_reached(peer, now_ms)
-                and self._is_able(peer, opened, now_ms)
+                and self._gatherers.is_able(peer, opened, now_ms)
             ]
             if peers:
-                peer = min(peers, key=self._load_of)
+                peer = min(peers, key=self._gatherers.load_of)
                 return [Assignment(peer, groups[self._region_of(peer.contact.data_centre)])]
         return []
 
@@ -188,7 +145,7 @@
             for block, members in _blocks_of(legs, count).items():
                 if len(members) < LEAST_LEGS:
                     continue
-                peer = self._find_gatherer(block, data_centre, opened, now_ms)
+                peer = self._gatherers.find(block, data_centre, opened, now_ms)
                 if peer is not None:
                     found.append(Assignment(peer, members))
         return found
@@ -201,69 +158,6 @@
             for data_centre in {record.data_centre for record in self._fleet.usable(leg.service)}
         )
 
-    def _find_gatherer(
-        self, block: str, data_centre: str, opened: OpenRequest, now_ms: float
-    ) -> KnownPeer | None:
-        """Return the peer for a block; None when this instance is one of its gatherers itself."""
-        peers = self._peers_near(data_centre, now_ms)
-        ranked = self._rank(block, data_centre, peers)
-        count = max(1, min(GATHERERS, len(ranked) // INSTANCES_PER_GATHERER))
-        own_id = self._settings.instance_id
-        able = (
-            name for name in ranked if name == own_id or self._is_able(peers[name], opened, now_ms)
-        )
-        gatherers = list(islice(able, count))
-        if own_id in gatherers:
-            return None
-        return min((peers[name] for name in gatherers), key=self._load_of, default=None)
-
-    def _rank(self, block: str, data_centre: str, peers: Mapping[str, KnownPeer]) -> list[str]:
-        """Return the instances of a data centre, first those that should gather a block."""
-        ranked = self._ranked.get((data_centre, block))
-        if ranked is None:
-            names = list(peers)
-            if data_centre == self._settings.data_centre:
-                names.append(self._settings.instance_id)
-            ranked = rank_by_rendezvous(block, names)
-            self._ranked[data_centre, block] = ranked
-        return ranked
-
-    def _peers_near(self, data_centre: str, now_ms: float) -> dict[str, KnownPeer]:
-        """Return the peers of a data centre that may be asked, by name."""
-        if now_ms - self._looked_ms >= LOOK_MS:
-            self._looked_ms = now_ms
-            self._near = {}
-            self._ranked.clear()
-            for peer in self._directory.peers.values():
-                if self._directory.may_be_asked(peer, now_ms):
-                    contact = peer.contact
-                    self._near.setdefault(contact.data_centre, {})[contact.instance_id] = peer
-            for peers in self._near.values():
-                _assume_ways(peers.values())
-        return self._near.get(data_centre, {})
-
-    def _is_able(self, peer: KnownPeer, opened: OpenRequest, now_ms: float) -> bool:
-        """Return whether a peer would serve a request now, as far as it is known."""
-        is_fresh = now_ms - peer.heard_ms < FRESH_HELLO_MS
-        serves = peer.is_ready and peer.version >= opened.configuration.version
-        return (
-            (serves or not is_fresh)
-            and now_ms - peer.declined_ms >= DECLINED_MS
-            and now_ms - peer.began_ms >= NEW_PEER_MS
-            and peer.open_delegations < MOST_OPEN
-            and self._directory.may_be_asked(peer, now_ms)
-            and self._is_near_enough(peer, opened.goal_ms - now_ms)
-        )
-
-    def _is_near_enough(self, peer: KnownPeer, goal_left_ms: float) -> bool:
-        """Return whether a peer that stays silent is noticed while the goal can be met."""
-        if goal_left_ms < LEAST_GOAL_LEFT_MS:
-            return True
-        return peer.word_ms <= MOST_TAKEN_GOAL_SHARE * goal_left_ms
-
-    def _load_of(self, peer: KnownPeer) -> tuple[int, float]:
-        return peer.open_delegations, self._random.random()
-
     def _has_near(self, service: str) -> bool:
         records = self._fleet.usable(service)
         return any(self._region_of(r.data_centre) == self._settings.region for r in records)
@@ -291,13 +185,6 @@
         return self._settings.regions.get(data_centre)
 
 
-def _assume_ways(peers: Iterable[KnownPeer]) -> None:
-    """Let peers of one data centre whose way was not measured have the shortest of the others."""
-    way_ms = min((peer.way_ms for peer in peers if peer.way_ms is not None), default=None)
-    for peer in peers:
-        peer.assumed_way_ms = way_ms
-
-
 def _blocks_of(legs: Iterable[Leg], count: int) -> dict[str, list[Leg]]:
     """Return shards by the name of their block, which is one of ``count``."""
     blocks: dict[str, list[Leg]] = {}
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from geraniumlead.forwarding.delegation_plan import LEAST_GOAL_LEFT_MS, MOST_TAKEN_GOAL_SHARE
+from geraniumlead.forwarding.gatherers import LEAST_GOAL_LEFT_MS, MOST_TAKEN_GOAL_SHARE
 from geraniumlead.forwarding.open_request import Leg, OpenRequest
 from geraniumlead.forwarding.own_delay import DelaySamples
 from geraniumlead.forwarding.wake_times import WakeTimes
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -6,8 +6,9 @@
 from geraniumlead.fleet import FleetView
 from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, SendReply
 from geraniumlead.forwarding.attempt_book import AttemptBook
-from geraniumlead.forwarding.closing import UNAVAILABLE, decide_reply
-from geraniumlead.forwarding.crash_book import QUARANTINE_MS, CrashBook
+from geraniumlead.forwarding.closing import decide_reply
+from geraniumlead.forwarding.crash_book import CrashBook
+from geraniumlead.forwarding.crash_refusal import refuse_crashing
 from geraniumlead.forwarding.delegated_legs import DelegatedLegs
 from geraniumlead.forwarding.delegation_plan import DelegationPlan
 from geraniumlead.forwarding.delegations import Delegation
@@ -15,7 +16,6 @@
 from geraniumlead.forwarding.leg_sender import LegSender
 from geraniumlead.forwarding.open_request import Leg, OpenRequest
 from geraniumlead.forwarding.own_delay import OwnDelay
-from geraniumlead.forwarding.replies import OwnReply
 from geraniumlead.forwarding.request_line import describe_request
 from geraniumlead.forwarding.request_services import RequestServices
 from geraniumlead.forwarding.results import AttemptResult
@@ -104,7 +104,7 @@
     ) -> None:
         """Send a request to one upstream of each of its services."""
         if not request.is_delegated and self._is_crashing(request, now_ms):
-            self._refuse_crashing(request, route)
+            self._actions += refuse_crashing(request, route)
             return
         services = self._services.of_request(request, route)
         margin_ms = self.own_delay.margin_ms(route.latency_goal_ms, len(services), now_ms)
@@ -131,18 +131,6 @@
     def _is_crashing(self, request: ForwardedRequest, now_ms: float) -> bool:
         return bool(self.crashes) and self.crashes.is_refused(request.fingerprint, now_ms)
 
-    def _refuse_crashing(self, request: ForwardedRequest, route: Route) -> None:
-        reply = OwnReply(UNAVAILABLE, "crashes_upstreams", QUARANTINE_MS)
-        self._actions.append(SendReply(request.key, reply))
-        fields = {
-            "request_id": request.request_id,
-            "route": route.name,
-            "status": reply.status,
-            "reason": reply.reason,
-            "fingerprint": f"{request.fingerprint:016x}",
-        }
-        self._actions.append(LogDecision("request", fields, "warning"))
-
     def take_delegated(self, delegation: Delegation, reply: DelegatedReply, now_ms: float) -> None:
         """Take in what a peer brought for the shards that it was asked to ask."""
         self.delegated.take_reply(delegation, reply, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from geraniumlead.peering.beat_rings import BEAT_PEERS, BeatRings
+from geraniumlead.peering.highest_count import HighestCount
 from geraniumlead.peering.known_peer import KnownPeer
 from geraniumlead.peering.messages import Farewell, Hello, PeerContact
 from geraniumlead.peering.peer_letter import SEED_PREFIX, PeerLetter
@@ -20,13 +21,6 @@
 FORGET_MS = 30_000.0
 """Silence after which a peer is written to no more; one that returns writes first."""
 
-HOLD_COUNT_MS = 20_000.0
-"""Time for which the highest count of instances is kept: two windows of the fleet's limits.
-
-Failure: instances are cut off from each other. Each side sees fewer, and with limits divided
-by what it sees both sides together would exceed them.
-"""
-
 START_COUNT = 8
 """Count assumed until peers have had time to be heard; today's users have 6 or 7 instances."""
 
@@ -55,7 +49,7 @@
     __slots__ = (
         "_beat_ms",
         "_contact",
-        "_counts",
+        "_highest_count",
         "_incarnation",
         "_random",
         "_rings",
@@ -79,7 +73,7 @@
         self._incarnation = incarnation
         self._beat_ms = now_ms
         self._started_ms = now_ms
-        self._counts: list[tuple[float, int]] = []
+        self._highest_count = HighestCount()
         self._rings = BeatRings(contact, regions or {})
         self._rumours = Rumours()
         self._random = random
@@ -139,14 +133,7 @@
     def count(self, now_ms: float) -> int:
         """Return how many instances may be sharing the limits of the fleet."""
         heard = 1 + sum(1 for peer in self.peers.values() if self._may_live(peer, now_ms))
-        while self._counts and (
-            self._counts[0][0] < now_ms - HOLD_COUNT_MS or self._counts[0][1] <= heard
-        ):
-            self._counts.pop(0)
-        while self._counts and self._counts[-1][1] <= heard:
-            self._counts.pop()
-        self._counts.append((now_ms, heard))
-        most = max(count for _, count in self._counts)
+        most = self._highest_count.note(heard, now_ms)
         if not self._is_starting(now_ms):
             return most
         told = max((peer.count for peer in self.peers.values()), default=0)
@@ -318,6 +305,6 @@
             held_ms,
             known,
             asks_names=peer is None,
-            count=self._counts[-1][1] if self._counts else 1,
+            count=self._highest_count.latest,
             running_ms=now_ms - self._started_ms,
         )
--- a/packages/geraniumlead/tests/core_tests/peering/test_directory.py
+++ b/packages/geraniumlead/tests/core_tests/peering/test_directory.py
@@ -12,7 +12,8 @@
     encode_peering,
 )
 from geraniumlead.peering.beat_rings import BEAT_PEERS, LIVE_MS
-from geraniumlead.peering.directory import HOLD_COUNT_MS, START_COUNT, START_MS
+from geraniumlead.peering.directory import START_COUNT, START_MS
+from geraniumlead.peering.highest_count import HOLD_COUNT_MS
 from geraniumlead.peering.known_peer import WAY_SAMPLES
 
 REGIONS = {"noord-a": "noord", "midden-a": "midden", "zuid-a": "zuid"}
