Play whole fleets with slow processors in virtual time, and give a late peer some overtime

Cause: a peer without a reply 40 ms after the goal was given up at once, whether or not its shards could be asked here. And a word that came after that counted anew from a time that had passed. Change: what the budget allows is asked from here then, and the peer keeps half of the rest of the caller's time; in the other half the caller can ask elsewhere. One field says what of a peer is overdue.

--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/fleet_load/instance.py
@@ -0,0 +1,111 @@
+"""Model one instance whose processor does one thing after another."""
+
+from collections import deque
+from collections.abc import Callable
+from random import Random
+
+from geraniumlead.forwarding import (
+    Forwarder,
+    ForwardingAction,
+    ForwardingEvent,
+    ForwardingSettings,
+    LogDecision,
+    StartAttempt,
+    TimePassed,
+)
+from geraniumlead.peering.peer_letter import PeerLetter
+from geraniumlead_standins.bench.fleet_load.connections import Connections
+from geraniumlead_standins.bench.fleet_load.load import REGIONS, FleetLoad
+from geraniumlead_standins.virtual import EventQueue
+
+
+def address_of(number: int) -> str:
+    """Return where an instance is reached."""
+    return f"10.{number // 62_500}.{number // 250 % 250}.{number % 250 + 1}:1"
+
+
+class ModelInstance:
+    """Hold a forwarder, its connections, and the work that waits for its processor.
+
+    ``carry_out`` gets each action when the processor has done the work for it.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        load: FleetLoad,
+        queue: EventQueue,
+        carry_out: Callable[["ModelInstance", ForwardingAction], None],
+        seed: int,
+    ) -> None:
+        self.address = address_of(number)
+        self.instance_id = f"entry-{number + 1}"
+        self.data_centre = load.data_centre_of(number)
+        self.connections = Connections()
+        self.logged: list[LogDecision] = []
+        self._costs = load.costs
+        self._core_share = load.core_share
+        self._queue = queue
+        self._carry_out = carry_out
+        self._waiting: deque[tuple[float, ForwardingEvent]] = deque()
+        self._is_busy = False
+        self._wake_ms = float("inf")
+        settings = ForwardingSettings(
+            instance_id=self.instance_id,
+            data_centre=self.data_centre,
+            address=self.address,
+            regions=REGIONS,
+            seeds=tuple(address_of(seed_number) for seed_number in range(3)),
+            extra_share=0.2,
+            extra_slack=load.extra_slack,
+        )
+        self.forwarder = Forwarder(settings, Random(f"{seed}/{number}"))
+
+    def take(self, event: ForwardingEvent, cost_ms: float) -> None:
+        """Let an event wait for the processor, which needs ``cost_ms`` of a whole core for it."""
+        self._waiting.append((cost_ms, event))
+        if not self._is_busy:
+            self._begin()
+
+    def _begin(self) -> None:
+        self._is_busy = True
+        cost_ms, event = self._waiting.popleft()
+        done_ms = self._queue.now_ms + cost_ms / self._core_share
+        self._queue.add(done_ms, lambda: self._handle(event))
+
+    def _handle(self, event: ForwardingEvent) -> None:
+        at_ms = self._queue.now_ms
+        for action in self.forwarder.handle(event, at_ms):
+            at_ms += self._cost_ms(action, at_ms) / self._core_share
+            self._queue.add(at_ms, lambda action=action: self._carry_out(self, action))
+        self._queue.add(at_ms, self._go_on)
+
+    def _go_on(self) -> None:
+        if self._waiting:
+            self._begin()
+        else:
+            self._is_busy = False
+        self._arm()
+
+    def _arm(self) -> None:
+        wake_ms = self.forwarder.next_wake_ms()
+        if wake_ms < self._wake_ms or self._wake_ms <= self._queue.now_ms:
+            self._wake_ms = wake_ms
+            if wake_ms < float("inf"):
+                self._queue.add(wake_ms, lambda: self._wake(wake_ms))
+
+    def _wake(self, wake_ms: float) -> None:
+        if wake_ms == self._wake_ms:
+            self._wake_ms = float("inf")
+            self.take(TimePassed(), self._costs.timer_ms)
+
+    def _cost_ms(self, action: ForwardingAction, now_ms: float) -> float:
+        match action:
+            case StartAttempt(attempt_id=attempt_id, upstream=upstream):
+                is_warm = self.connections.take(attempt_id, upstream.upstream_id, now_ms)
+                return self._costs.warm_part_ms if is_warm else self._costs.cold_part_ms
+            case PeerLetter():
+                return self._costs.letter_ms
+            case LogDecision():
+                self.logged.append(action)
+        return 0.0
--- /dev/null
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/fleet_load/load.py
@@ -0,0 +1,158 @@
+"""Describe a fleet, its index, its queries, and what work costs its processors."""
+
+from dataclasses import dataclass
+from random import Random
+
+from geraniumlead.fleet import UpstreamRecord
+from geraniumlead.routes import (
+    FanOut,
+    PublishedConfiguration,
+    Route,
+    RouteTable,
+    UpstreamService,
+)
+from geraniumlead_standins.bench.forwarding_bound.upstream_model import Spell, UpstreamModel
+
+HOST = "search.example"
+REGIONS = {
+    "noord-a": "noord",
+    "midden-a": "midden",
+    "zuid-a": "zuid",
+    "noord-b": "noord",
+    "midden-b": "midden",
+    "zuid-b": "zuid",
+}
+DATA_CENTRES = tuple(REGIONS)
+SLOTS = 2
+MOST_CONNECTIONS = 120
+WORK_SPREAD = 0.35
+SWEEP_SHARE = 0.75
+
+
+@dataclass(frozen=True, slots=True)
+class Costs:
+    """Hold processor time in milliseconds of a whole core."""
+
+    query_ms: float = 0.8
+    letter_ms: float = 0.3
+    warm_part_ms: float = 0.3
+    cold_part_ms: float = 0.7
+    answer_ms: float = 0.2
+    timer_ms: float = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class QueryKind:
+    """Describe queries of one route."""
+
+    name: str
+    goal_ms: float
+    wait_ms: float
+    least_share: float
+    work_ms: float
+
+    @property
+    def path(self) -> str:
+        """Return the prefix of the route."""
+        return f"/{self.name}/"
+
+
+SWEEP = QueryKind("sweep", 436.0, 1_500.0, 0.95, 30.0)
+PEEK = QueryKind("peek", 163.0, 800.0, 0.85, 10.0)
+
+
+@dataclass(frozen=True, slots=True)
+class FleetLoad:
+    """Describe one run. All instances start at 0; queries come from ``first_ms`` to ``end_ms``.
+
+    Each shard has two upstreams, in two of the three regions. In the burst ``burst_factor``
+    times as many queries come. ``core_share`` is what an instance has of a core.
+    """
+
+    instances: int = 18
+    shards: int = 87
+    core_share: float = 0.5
+    queries_per_s: float = 12.0
+    first_ms: float = 8_000.0
+    end_ms: float = 28_000.0
+    burst: Spell | None = None
+    burst_factor: float = 1.0
+    extra_slack: float = 430.0
+    pause_ms: float = 300.0
+    pause_every_ms: float = 7_500.0
+    costs: Costs = Costs()
+
+    @property
+    def names(self) -> list[str]:
+        """Return the names of the shards."""
+        return [f"shard-{number}" for number in range(self.shards)]
+
+    def data_centre_of(self, number: int) -> str:
+        """Return where an instance is."""
+        return DATA_CENTRES[number % len(DATA_CENTRES)]
+
+    def one_way_ms(self, first: str, second: str) -> float:
+        """Return how long a message takes between two data centres."""
+        if first == second:
+            return 0.1
+        return 0.7 if REGIONS[first] == REGIONS[second] else 20.0
+
+    def build_upstreams(self, random: Random) -> list[UpstreamModel]:
+        """Return two upstreams of each shard."""
+        found = []
+        for number, name in enumerate(self.names):
+            for copy in range(2):
+                place = DATA_CENTRES[(number + copy) % len(DATA_CENTRES)]
+                pauses = self._build_pauses(random)
+                found.append(UpstreamModel(f"{name}.{copy}", name, place, SLOTS, pauses))
+        return found
+
+    def build_configuration(self) -> PublishedConfiguration:
+        """Return one route for each kind of query."""
+        routes = [self._build_route(kind) for kind in (SWEEP, PEEK)]
+        services = {name: UpstreamService(name, MOST_CONNECTIONS, 0.0) for name in self.names}
+        return PublishedConfiguration(1, RouteTable(routes), services)
+
+    def build_queries(self, random: Random) -> list[tuple[float, int, QueryKind]]:
+        """Return when queries come, to which instance, and of which kind."""
+        found, at_ms = [], self.first_ms
+        while at_ms < self.end_ms:
+            kind = SWEEP if random.random() < SWEEP_SHARE else PEEK
+            found.append((at_ms, random.randrange(self.instances), kind))
+            is_burst = self.burst is not None and self.burst.holds(at_ms)
+            factor = self.burst_factor if is_burst else 1.0
+            at_ms += random.expovariate(self.queries_per_s * factor) * 1_000.0
+        return found
+
+    def _build_pauses(self, random: Random) -> list[Spell]:
+        pauses, at_ms = [], random.uniform(0.0, self.pause_every_ms)
+        while at_ms < self.end_ms + 2_000.0:
+            pauses.append(Spell(at_ms, at_ms + self.pause_ms))
+            at_ms += self.pause_every_ms * random.uniform(0.8, 1.2)
+        return pauses
+
+    def _build_route(self, kind: QueryKind) -> Route:
+        return Route(
+            name=kind.name,
+            host=HOST,
+            prefix=kind.path,
+            target=FanOut(tuple(self.names), 5, kind.least_share),
+            is_idempotent=True,
+            timeout_ms=kind.wait_ms,
+            latency_goal_ms=kind.goal_ms,
+            priority=1,
+            most_upstreams=2,
+            allowed_regions=frozenset(),
+        )
+
+
+def record_of(model: UpstreamModel) -> UpstreamRecord:
+    """Return what is published of an upstream."""
+    return UpstreamRecord(
+        model.upstream_id, model.service, model.upstream_id, model.data_centre, SLOTS, True
+    )
+
+
+def draw_work_ms(kind: QueryKind, random: Random) -> float:
+    """Return how long an upstream works on one part."""
+    return kind.work_ms * random.lognormvariate(0.0, WORK_SPREAD)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegated_legs.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegated_legs.py
@@ -6,7 +6,7 @@
 from geraniumlead.forwarding.actions import ForwardingAction, PeerReply
 from geraniumlead.forwarding.delegate_desk import DelegateDesk
 from geraniumlead.forwarding.delegation_plan import DelegationPlan
-from geraniumlead.forwarding.delegations import Delegation, Delegations
+from geraniumlead.forwarding.delegations import Delegation, Delegations, Lateness
 from geraniumlead.forwarding.leg_sender import LegSender
 from geraniumlead.forwarding.open_request import Leg, OpenRequest
 from geraniumlead.forwarding.results import Completed
@@ -75,17 +75,18 @@
         It may have sent each of them once, and only its word is late or lost. It is told to
         send none again: together they would reach more upstreams than the route allows.
         """
-        self._actions.append(self.delegations.shared_letter(delegation))
         missing = [leg for leg in delegation.legs if not leg.is_settled]
-        for leg in missing:
-            self._legs.note_tried(leg, (None,))
-        self._legs.ask_beside(missing, now_ms)
+        if not delegation.is_shared:
+            delegation.is_shared = True
+            self._actions.append(self.delegations.shared_letter(delegation))
+            for leg in missing:
+                self._legs.note_tried(leg, (None,))
+        self._legs.ask_beside(missing, delegation.lateness is Lateness.REPLY, now_ms)
 
     def take_back(self, delegation: Delegation, why: str, now_ms: float) -> None:
         """Ask the shards from here that a peer no longer brings."""
-        is_counted = delegation.has_late_word
-        tried = {} if is_counted else {leg.service: (None,) for leg in delegation.legs}
-        self._ask_from_here(delegation, tried, why, now_ms)
+        self._actions.append(self.delegations.cancel_letter(delegation))
+        self._ask_from_here(delegation, {}, why, now_ms)
 
     def report(self, opened: OpenRequest) -> None:
         """Bring a peer what is in at its goal, and go on with the rest.
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
@@ -1,6 +1,7 @@
 """Hold the shards of requests that peers ask."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from geraniumlead.forwarding.gatherers import LEAST_GOAL_LEFT_MS, MOST_TAKEN_GOAL_SHARE
 from geraniumlead.forwarding.open_request import Leg, OpenRequest
@@ -24,6 +25,9 @@
 PEER_WORK_MS = 3.0
 """What the peer's own work takes from the goal."""
 
+OVERTIME_SHARE = 0.5
+"""Part of the caller's time after the goal in which a late peer may still bring its shards. In the
+rest the caller can ask elsewhere once more."""
 
 WORD_DELAY_FACTOR = 1.5
 """How much longer than the high quantile of the latest words a peer's word may take."""
@@ -32,13 +36,23 @@
 """Lateness of a timer from which on messages may be waiting in this instance's own loop."""
 
 
+class Lateness(Enum):
+    """Say what of a peer is overdue."""
+
+    NOTHING = "nothing"
+    WORD = "word"
+    REPLY = "reply"
+    GIVEN_UP = "given up"
+
+
 @dataclass(slots=True)
 class Delegation:
     """Shards of a request that a peer was asked to ask.
 
     ``due_ms`` is when it has to have said something, ``report_ms`` when what it has at its goal
-    should be here, ``reply_due_ms`` when it counts as dead without that. ``has_late_word`` says
-    that its shards were asked from here as well, since it said nothing in time.
+    should be here, ``reply_due_ms`` when it is late without that. Once anything is overdue, its
+    shards are asked from here as well, as far as the budget goes; ``is_shared`` says that the
+    peer was told so.
     """
 
     number: int
@@ -50,8 +64,9 @@
     reply_due_ms: float
     asked_ms: float
     is_taken: bool = False
-    has_late_word: bool = False
+    lateness: Lateness = Lateness.NOTHING
     was_extended: bool = False
+    is_shared: bool = False
 
     def leg_at(self, place: int) -> Leg | None:
         """Return the shard at a place in the request to the peer; None when there is none."""
@@ -66,8 +81,8 @@
 
     Failure: the peer is only slow, for it opens its connections or all of the fleet is busy.
     Given up, its work was lost, the shards were asked anew over cold connections, and the budget
-    of all was spent on it, so that the next queries failed. It may still reply until the goal,
-    and its word is waited for as long as the latest words took.
+    of all was spent on it, so that the next queries failed. Its word is waited for as long as the
+    latest words took, and it may still reply for a while after the goal.
     """
 
     __slots__ = ("_next", "_open", "_own_contact", "_reply_delay", "_wakes", "_word_delay")
@@ -137,11 +152,12 @@
         if delegation is None or delegation.is_taken:
             return
         delegation.is_taken = True
-        if delegation.has_late_word:
+        if delegation.lateness is not Lateness.NOTHING:
             delegation.peer.silent_ms = None
         word_ms = now_ms - delegation.asked_ms
         self._word_delay.note(word_ms - 2.0 * delegation.peer.usual_way_ms, now_ms)
-        self._set_due(delegation, delegation.reply_due_ms)
+        if delegation.lateness is not Lateness.REPLY:
+            self._set_due(delegation, delegation.reply_due_ms)
 
     def _set_due(self, delegation: Delegation, due_ms: float) -> None:
         delegation.due_ms = due_ms
@@ -176,14 +192,11 @@
     def cancel(self, opened: OpenRequest) -> list[PeerLetter]:
         """Forget a request's delegations; return what the peers are told."""
         taken = [self.take(number) for number in sorted(opened.delegations)]
-        return [self._cancel_letter(found) for found in taken if found is not None]
+        return [self.cancel_letter(found) for found in taken if found is not None]
 
-    def take_overdue(self, now_ms: float) -> list[tuple[Delegation, PeerLetter | None]]:
-        """Return what peers said nothing of in time, and what they are told.
-
-        Without a letter only the word is overdue, and the peer may still reply.
-        """
-        overdue: list[tuple[Delegation, PeerLetter | None]] = []
+    def take_overdue(self, now_ms: float) -> list[Delegation]:
+        """Return what peers said nothing of in time; what is given up is taken out."""
+        overdue = []
         while (due := self._wakes.take_due(now_ms)) is not None:
             due_ms, number = due
             delegation = self._open.get(number)
@@ -196,15 +209,23 @@
                 continue
             # Nothing more is passed to it until it is heard again.
             delegation.peer.silent_ms = now_ms
-            if delegation.is_taken or delegation.has_late_word:
-                self.take(number)
-                overdue.append((delegation, self._cancel_letter(delegation)))
-            else:
-                delegation.has_late_word = True
-                self._set_due(delegation, delegation.reply_due_ms)
-                overdue.append((delegation, None))
+            self._note_late(delegation, now_ms)
+            overdue.append(delegation)
         return overdue
 
+    def _note_late(self, delegation: Delegation, now_ms: float) -> None:
+        """Set what is overdue now, and until when the rest may come."""
+        if delegation.lateness is Lateness.REPLY:
+            delegation.lateness = Lateness.GIVEN_UP
+            self.take(delegation.number)
+        elif delegation.is_taken or delegation.lateness is Lateness.WORD:
+            delegation.lateness = Lateness.REPLY
+            left_ms = max(0.0, delegation.opened.end_ms - now_ms)
+            self._set_due(delegation, now_ms + OVERTIME_SHARE * left_ms)
+        else:
+            delegation.lateness = Lateness.WORD
+            self._set_due(delegation, delegation.reply_due_ms)
+
     def next_wake_ms(self) -> float:
         """Return when ``take_overdue`` has something to do."""
         return self._wakes.next_ms()
@@ -213,7 +234,8 @@
         """Return what a peer is told whose shards are asked from here as well."""
         return self._letter(delegation, DelegationShared(delegation.number))
 
-    def _cancel_letter(self, delegation: Delegation) -> PeerLetter:
+    def cancel_letter(self, delegation: Delegation) -> PeerLetter:
+        """Return what a peer is told whose shards nobody waits for."""
         return self._letter(delegation, DelegationCancelled(delegation.number))
 
     def _letter(self, delegation: Delegation, message: PeeringMessage) -> PeerLetter:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/leg_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/leg_sender.py
@@ -92,18 +92,20 @@
             else:
                 opened.settle_failed(leg, f"{why}, no budget", now_ms)
 
-    def ask_beside(self, legs: list[Leg], now_ms: float) -> None:
+    def ask_beside(self, legs: list[Leg], is_overdue: bool, now_ms: float) -> None:
         """Ask shards as well that a peer may still bring.
 
-        Only late parts' share of the budget is used: all of it spent on one slow peer, the parts
-        that fail in the next seconds could not be sent again.
+        Until the peer's reply is overdue only late parts' share of the budget is used: all of it
+        spent on one slow peer, the parts that fail in the next seconds could not be sent again.
         """
+        budgets = self._book.budgets
+        may_repeat = budgets.may_repeat_failed if is_overdue else budgets.may_repeat_late
         for leg in legs:
-            if not self._book.budgets.may_repeat_late(leg.service, now_ms):
+            if leg.open_attempts or not may_repeat(leg.service, now_ms):
                 continue
-            upstream = self._book.choose(leg, now_ms, only_good=True)
+            upstream = self._book.choose(leg, now_ms, only_good=not is_overdue)
             if upstream is not None:
-                self._book.send_again(leg, upstream, "peer's word is late", now_ms)
+                self._book.send_again(leg, upstream, "peer is late", now_ms)
 
     def cancel_leg(self, leg: Leg, now_ms: float) -> None:
         """Stop what is out for a shard that a peer has brought."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
@@ -1,7 +1,7 @@
 """Turn what peers say into calls of the decisions, and their outcomes into letters."""
 
 from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, PeerReply
-from geraniumlead.forwarding.delegations import find_delegated_route
+from geraniumlead.forwarding.delegations import Lateness, find_delegated_route
 from geraniumlead.forwarding.published_state import PublishedState
 from geraniumlead.forwarding.request_runner import RequestRunner
 from geraniumlead.peering import (
@@ -74,19 +74,18 @@
     def wake(self, now_ms: float, is_ready: bool) -> None:
         """Say hello where it is due, and ask what peers did not take."""
         self._actions += self.directory.take_letters(self._version(), is_ready, now_ms)
-        for delegation, letter in self._runner.delegated.delegations.take_overdue(now_ms):
+        for delegation in self._runner.delegated.delegations.take_overdue(now_ms):
             fields = {
                 "peer": delegation.peer.contact.instance_id,
                 "request_id": delegation.opened.request.request_id,
                 "waited_ms": round(now_ms - delegation.asked_ms, 1),
-                "is_given_up": letter is not None,
+                "late": delegation.lateness.value,
             }
             self._actions.append(LogDecision("peer_silent", fields, "warning"))
-            if letter is None:
-                self._runner.ask_beside(delegation, now_ms)
-            else:
-                self._actions.append(letter)
+            if delegation.lateness is Lateness.GIVEN_UP:
                 self._runner.take_back(delegation, "peer silent", now_ms)
+            else:
+                self._runner.ask_beside(delegation, now_ms)
         for fingerprint, upstream_ids in self._runner.crashes.take_told().items():
             notice = CrashNotice(fingerprint, upstream_ids)
             for peer in self.directory.live(now_ms)[:MOST_TOLD]:
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_late_words.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_late_words.py
@@ -63,6 +63,33 @@
         self.fleet.run_until(self.fleet.now_ms + 100.0)
         self.assertEqual(0, self.entry.replies[1].missing)
 
+    def test_a_peer_may_be_late_beyond_the_goal_when_the_budget_is_empty(self):
+        """An overloaded peer says its word and brings its block after the goal.
+
+        Given up at the goal, or by its late word, the query failed with a second left in which
+        its caller would have had the answer.
+        """
+        self.build(extra_slack=0.0)
+        self.ask_slow_peers()
+        for address in self.fleet.members:
+            if address != ENTRY:
+                self.fleet.slow_ms[address] = 400.0
+        self.answer_peers()
+        self.fleet.answer(ENTRY)
+        self.fleet.run_until(self.fleet.now_ms + 390.0)
+        self.assertEqual({}, self.entry.replies)
+        self.fleet.run_until(self.fleet.now_ms + 20.0)
+        self.assertEqual(0, self.entry.replies[1].missing)
+
+    def test_a_peer_that_never_replies_is_given_up_while_its_caller_can_ask_again(self):
+        """A peer is dead and the budget empty: there is nothing to wait for till the end."""
+        self.build(extra_slack=0.0)
+        letters = self.ask_slow_peers()
+        self.fleet.silent = {letter.address for letter in letters}
+        self.fleet.answer(ENTRY)
+        self.fleet.run_until(self.fleet.now_ms + 750.0)
+        self.assertEqual(502, self.entry.replies[1].status)
+
     def test_late_words_leave_the_budget_of_failed_parts(self):
         """Query after query finds slow peers.
 
