Ask one peer for few far shards, whatever blocks they are in

Cause, one that the code shows: a dozen far shards of an index that a data centre holds in four blocks were cut into blocks of one to four, and those below three shards were asked from here, across the regions.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegation_plan.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegation_plan.py
@@ -80,9 +80,10 @@
                 near.setdefault(upstream.data_centre, []).append(leg)
             elif not self._has_near(leg.service):
                 far.append(leg)
-        if len(opened.legs) <= MOST_OWN_SHARDS:
-            return self._assign_far(opened, far, now_ms)
-        found = self._assign_blocks(opened, self._place_far(opened, far), now_ms)
+        if len(far) <= BLOCK_SHARDS:
+            found = self._assign_far(opened, far, now_ms)
+        else:
+            found = self._assign_blocks(opened, self._place_far(opened, far), now_ms)
         if sum(map(len, near.values())) > MOST_OWN_SHARDS:
             found += self._assign_blocks(opened, near, now_ms)
         return found
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_far_blocks.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_far_blocks.py
@@ -74,6 +74,28 @@
         fleet.answer_all()
         self.assertEqual(0, fleet.members[address_of(0)].replies[1].missing)
 
+    def test_few_far_shards_go_to_one_peer(self):
+        """A dozen shards of a large index are only elsewhere, where they belong to four blocks.
+
+        Cut into blocks of one or two each, most of them were asked from here, across the regions.
+        """
+        fleet = build_fleet(18)
+        route = build_fan_out(SHARDS, least_share=0.9)
+        records = [
+            build_record(f"{name}.{place}", name, data_centre=place)
+            for number, name in enumerate(route.services())
+            for place in (("midden-a",) if number < 12 else ("midden-a", "noord-a"))
+        ]
+        fleet.publish(build_news(build_configuration(route, version=2), *records))
+        fleet.run_until(fleet.now_ms + 1_500.0)
+        letters = [
+            letter
+            for letter in fleet.ask(address_of(0), 1)
+            if isinstance(letter.message, DelegatedRequest)
+            and region_of(fleet, letter.address) != "noord"
+        ]
+        self.assertEqual([12], [len(letter.message.shards) for letter in letters])
+
     def test_far_callers_use_the_same_connections_as_near_ones(self):
         """Queries come to every instance of three regions.
 
