Count any answer of a peer as proof that it lives

Cause, found in reading: a peer whose word is late is asked nothing until it echoes a hello, which in a fleet of 195 is half a minute away. Its late word showed that it lives only while its query was still open; mostly the query had ended, and for half a minute the peer's blocks went to others over cold connections. Change: a word or a reply of a peer ends its silence, also when its query is gone. Test: fails without it.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
@@ -152,8 +152,6 @@
         if delegation is None or delegation.is_taken:
             return
         delegation.is_taken = True
-        if delegation.lateness is not Lateness.NOTHING:
-            delegation.peer.silent_ms = None
         word_ms = now_ms - delegation.asked_ms
         self._word_delay.note(word_ms - 2.0 * delegation.peer.usual_way_ms, now_ms)
         if delegation.lateness is not Lateness.REPLY:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_desk.py
@@ -61,8 +61,10 @@
             case DelegatedRequest():
                 self._serve(sender_id, message, now_ms, is_ready)
             case DelegationTaken(number=number):
+                self.directory.note_response(sender_id)
                 self._runner.delegated.delegations.note_taken(number, now_ms)
             case DelegatedReply(number=number):
+                self.directory.note_response(sender_id)
                 delegation = self._runner.delegated.delegations.take_reply(number, message, now_ms)
                 if delegation is not None:
                     self._runner.take_delegated(delegation, message, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -122,6 +122,17 @@
             return self.is_reached(peer, now_ms)
         return peer.silent_ms is None and self.is_live(peer, now_ms)
 
+    def note_response(self, instance_id: str) -> None:
+        """Note that a peer answered a request of this instance.
+
+        Failure: a slow peer's word came after its query had ended. In a fleet of hundreds its
+        next hello is half a minute away, and until then its blocks went to others, who had to
+        open connections for them.
+        """
+        peer = self.peers.get(instance_id)
+        if peer is not None:
+            peer.silent_ms = None
+
     def introduce(self, contact: PeerContact, now_ms: float) -> None:
         """Take in a peer that asks for something before its first hello."""
         self._learn(contact, now_ms)
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_late_words.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_late_words.py
@@ -152,6 +152,24 @@
         self.fleet.run_until(self.fleet.now_ms + 80.0)
         self.assertEqual(before, len(peer.started))
 
+    def test_a_word_that_comes_after_its_query_proves_that_the_peer_lives(self):
+        """A slow peer answers when its query has ended, and its next hello is far away.
+
+        Its blocks went to others until then, over cold connections.
+        """
+        self.build(extra_slack=1_000.0)
+        letters = self.ask_slow_peers()
+        self.fleet.run_until(self.fleet.now_ms + 60.0)
+        self.entry.leave(1)
+        self.entry.letters.clear()
+        self.fleet.run_until(self.fleet.now_ms + SLOW_MS)
+        self.fleet.slow_ms = {}
+        again: set[str] = set()
+        for key in range(2, 12):
+            again |= {letter.address for letter in self.fleet.ask(ENTRY, key)}
+            self.entry.leave(key)
+        self.assertLessEqual({letter.address for letter in letters}, again)
+
     def test_words_that_are_usually_late_are_waited_for(self):
         """The whole fleet is slow, and each word takes some sixty milliseconds.
 
