--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -5,11 +5,11 @@
 from random import Random
 
 from geraniumlead.peering.beat_rings import BEAT_PEERS, BeatRings
+from geraniumlead.peering.hello_names import HelloNames
 from geraniumlead.peering.highest_count import HighestCount
 from geraniumlead.peering.known_peer import KnownPeer
 from geraniumlead.peering.messages import Farewell, Hello, PeerContact
 from geraniumlead.peering.peer_letter import SEED_PREFIX, PeerLetter
-from geraniumlead.peering.rumours import Rumours
 
 BEAT_MS = 1_000.0
 """Time between two beats; each is a hello of some 150 bytes to a few peers."""
@@ -27,9 +27,6 @@
 START_MS = 4_000.0
 """Time after a start in which START_COUNT holds; the seeds may be stale for 3 s."""
 
-MOST_NAMED = 80
-"""Peers that are named to one that has just started, 1.5 KB compressed."""
-
 MOST_TOLD = 40
 """Peers that are told of a stop."""
 
@@ -51,9 +48,9 @@
         "_contact",
         "_highest_count",
         "_incarnation",
+        "_names",
         "_random",
         "_rings",
-        "_rumours",
         "_seeds",
         "_started_ms",
         "peers",
@@ -75,7 +72,7 @@
         self._started_ms = now_ms
         self._highest_count = HighestCount()
         self._rings = BeatRings(contact, regions or {})
-        self._rumours = Rumours()
+        self._names = HelloNames(random)
         self._random = random
         self.peers: dict[str, KnownPeer] = {}
 
@@ -272,13 +269,13 @@
             forget_ms = max(FORGET_MS, 2.0 * self._rings.live_ms(peer.contact.instance_id))
             if now_ms - max(peer.heard_ms, peer.mentioned_ms) > forget_ms:
                 del self.peers[instance_id]
-                self._rumours.drop(instance_id)
+                self._names.forget(instance_id)
 
     def _learn(self, contact: PeerContact, now_ms: float) -> KnownPeer:
         peer = self.peers.get(contact.instance_id)
         if peer is None:
             peer = self.peers[contact.instance_id] = KnownPeer(contact)
-            self._rumours.add(contact.instance_id, len(self.peers))
+            self._names.add(contact.instance_id, len(self.peers))
         peer.mentioned_ms = now_ms
         return peer
 
@@ -286,21 +283,12 @@
         """Return the peers that a hello names."""
         is_first = peer is not None and peer.told_ms == float("-inf")
         if (is_first and not self._is_large) or (peer is not None and peer.asks_names):
-            contacts = [p.contact for p in self.peers.values() if self._is_heard(p, now_ms)]
-            return tuple(self._random.sample(contacts, min(MOST_NAMED, len(contacts))))
-        return self._take_rumours(now_ms) if self._is_large else ()
-
-    def _take_rumours(self, now_ms: float) -> tuple[PeerContact, ...]:
-        """Return some joiners, and one peer by chance.
-
-        Failure: after a cut heals two parts of the fleet know nothing of each other. The one
-        by chance passes between them until both know all.
-        """
-        names = self._rumours.take()
+            heard = [found for found in self.peers.values() if self._is_heard(found, now_ms)]
+            return self._names.sample(heard)
+        if not self._is_large:
+            return ()
         chance = self._random.choice(list(self.peers.values()))
-        if chance.contact.instance_id not in names and self._is_heard(chance, now_ms):
-            names.append(chance.contact.instance_id)
-        return tuple(self.peers[name].contact for name in names)
+        return self._names.take(self.peers, chance if self._is_heard(chance, now_ms) else None)
 
     def _hello(self, peer: KnownPeer | None, version: int, is_ready: bool, now_ms: float) -> Hello:
         known = self._names_for(peer, now_ms)
