--- a/packages/geraniumlead-standins/src/geraniumlead_standins/bench/fleet_load/fleet_run.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/fleet_load/fleet_run.py
@@ -76,7 +76,10 @@
         news += tuple(UpstreamSeen(record_of(model)) for model in models)
         for instance in self.instances:
             instance.take(PublishedNews(news, is_snapshot=True), 0.0)
-        queries = load.build_queries(Random(f"{seed}/queries"))
+        dead = load.choose_dead(Random(f"{seed}/dead"))
+        if load.fault is not None:
+            self._queue.add(load.fault.from_ms, lambda: self._kill(dead))
+        queries = load.build_queries(Random(f"{seed}/queries"), dead)
         for key, (at_ms, number, kind) in enumerate(queries, start=1):
             self._queue.add(at_ms, lambda k=key, n=number, q=kind: self._ask(k, n, q))
 
@@ -100,6 +103,10 @@
         ]
         return sum(found) / len(found) if found else 0.0
 
+    def _kill(self, numbers: set[int]) -> None:
+        for number in numbers:
+            self.instances[number].is_dead = True
+
     def _ask(self, key: int, number: int, kind: QueryKind) -> None:
         now_ms = self._queue.now_ms
         self.outcomes[key] = Outcome(now_ms, kind)
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/bench/fleet_load/instance.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/fleet_load/instance.py
@@ -49,6 +49,7 @@
         self._carry_out = carry_out
         self._waiting: deque[tuple[float, ForwardingEvent]] = deque()
         self._is_busy = False
+        self.is_dead = False
         self._wake_ms = float("inf")
         settings = ForwardingSettings(
             instance_id=self.instance_id,
@@ -63,6 +64,8 @@
 
     def take(self, event: ForwardingEvent, cost_ms: float) -> None:
         """Let an event wait for the processor, which needs ``cost_ms`` of a whole core for it."""
+        if self.is_dead:
+            return
         self._waiting.append((cost_ms, event))
         if not self._is_busy:
             self._begin()
@@ -74,6 +77,8 @@
         self._queue.add(done_ms, lambda: self._handle(event))
 
     def _handle(self, event: ForwardingEvent) -> None:
+        if self.is_dead:
+            return
         at_ms = self._queue.now_ms
         for action in self.forwarder.handle(event, at_ms):
             at_ms += self._cost_ms(action, at_ms) / self._core_share
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/bench/fleet_load/load.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/fleet_load/load.py
@@ -66,7 +66,9 @@
     """Describe one run. All instances start at 0; queries come from ``first_ms`` to ``end_ms``.
 
     Each shard has two upstreams, in two of the three regions. In the burst ``burst_factor``
-    times as many queries come. ``core_share`` is what an instance has of a core.
+    times as many queries come. ``core_share`` is what an instance has of a core. In the fault
+    ``slow_share`` of the upstreams are slow, and from its start on ``dead_share`` of the
+    instances say nothing more; callers ask the others.
     """
 
     instances: int = 18
@@ -77,6 +79,9 @@
     end_ms: float = 28_000.0
     burst: Spell | None = None
     burst_factor: float = 1.0
+    fault: Spell | None = None
+    slow_share: float = 0.0
+    dead_share: float = 0.0
     extra_slack: float = 430.0
     pause_ms: float = 300.0
     pause_every_ms: float = 7_500.0
@@ -104,21 +109,29 @@
             for copy in range(2):
                 place = DATA_CENTRES[(number + copy) % len(DATA_CENTRES)]
                 pauses = self._build_pauses(random)
-                found.append(UpstreamModel(f"{name}.{copy}", name, place, SLOTS, pauses))
+                slow = self._build_slow(random)
+                found.append(UpstreamModel(f"{name}.{copy}", name, place, SLOTS, pauses, slow))
         return found
 
+    def choose_dead(self, random: Random) -> set[int]:
+        """Return the instances that the fault kills."""
+        return set(random.sample(range(self.instances), int(self.dead_share * self.instances)))
+
     def build_configuration(self) -> PublishedConfiguration:
         """Return one route for each kind of query."""
         routes = [self._build_route(kind) for kind in (SWEEP, PEEK)]
         services = {name: UpstreamService(name, MOST_CONNECTIONS, 0.0) for name in self.names}
         return PublishedConfiguration(1, RouteTable(routes), services)
 
-    def build_queries(self, random: Random) -> list[tuple[float, int, QueryKind]]:
+    def build_queries(self, random: Random, dead: set[int]) -> list[tuple[float, int, QueryKind]]:
         """Return when queries come, to which instance, and of which kind."""
         found, at_ms = [], self.first_ms
+        living = [number for number in range(self.instances) if number not in dead]
         while at_ms < self.end_ms:
             kind = SWEEP if random.random() < SWEEP_SHARE else PEEK
-            found.append((at_ms, random.randrange(self.instances), kind))
+            is_after = self.fault is not None and at_ms >= self.fault.from_ms
+            asked = random.choice(living) if is_after else random.randrange(self.instances)
+            found.append((at_ms, asked, kind))
             is_burst = self.burst is not None and self.burst.holds(at_ms)
             factor = self.burst_factor if is_burst else 1.0
             at_ms += random.expovariate(self.queries_per_s * factor) * 1_000.0
@@ -131,6 +144,10 @@
             at_ms += self.pause_every_ms * random.uniform(0.8, 1.2)
         return pauses
 
+    def _build_slow(self, random: Random) -> list[Spell]:
+        is_slow = random.random() < self.slow_share
+        return [self.fault] if is_slow and self.fault is not None else []
+
     def _build_route(self, kind: QueryKind) -> Route:
         return Route(
             name=kind.name,
