Name the sender in every request to a peer, so that one that has just started can reply

Cause, found in reading the change: the address was named only to a peer that had never been told a hello. A peer that starts again knows those whom its seeds name; to all others its word and its reply had no address, and in a fleet of 195 the next hello is half a minute away, in which each of its blocks waited in vain. Change: always named, some forty bytes. Test: a peer that was met and forgot the sender; fails before with a query that gets no answer.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegations.py
@@ -132,7 +132,7 @@
             body=request.body,
             time_left_ms=time_left_ms,
             goal_left_ms=goal_left_ms,
-            sender=None if peer.told_ms > float("-inf") else self._own_contact,
+            sender=self._own_contact,
         )
         return PeerLetter(peer.contact.instance_id, peer.contact.address, message)
 
--- a/packages/geraniumlead/src/geraniumlead/peering/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -61,7 +61,7 @@
 
     ``version`` is the configuration that the sender acts on; the peer declines with an older
     one. Its reply has to leave ``goal_left_ms`` after the message came, with what is in.
-    ``sender`` tells a peer that was never met where the reply goes.
+    ``sender`` tells a peer that does not know it, for it has just started, where the reply goes.
     """
 
     number: int
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_far_blocks.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_far_blocks.py
@@ -128,6 +128,21 @@
             (reply,) = member.replies.values()
             self.assertEqual(0, reply.missing)
 
+    def test_a_peer_that_started_again_can_reply(self):
+        """A peer starts again and has not heard yet who asks it, though it was met before.
+
+        Its word and its reply had no address, so each of its blocks waited in vain.
+        """
+        fleet = build_fleet(18)
+        entry, peer = fleet.members[address_of(0)], fleet.members[address_of(3)]
+        for key in range(1, 9):
+            peer.forwarder._peers.directory.peers.pop("entry-1", None)
+            fleet.ask(address_of(0), key)
+            fleet.deliver()
+            fleet.answer_all()
+            self.assertEqual(0, entry.replies[key].missing)
+        self.assertIsNone(entry.forwarder._peers.directory.peers["entry-4"].silent_ms)
+
     def test_a_peer_that_was_never_met_can_reply(self):
         """An instance is known by name only, and does not know who asks it."""
         fleet = build_fleet(18)
