--- a/packages/geraniumlead/src/geraniumlead/forwarding/gatherers.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/gatherers.py
@@ -129,7 +129,7 @@
 
 
 def _assume_ways(peers: Iterable[KnownPeer]) -> None:
-    """Let peers of one data centre whose way was not measured have the shortest of the others."""
+    """Give peers whose way is unknown the shortest of the others of their data centre."""
     way_ms = min((peer.way_ms for peer in peers if peer.way_ms is not None), default=None)
     for peer in peers:
         peer.assumed_way_ms = way_ms
