Log and count how long requests waited and what their attempts were handed

A request's line now has waited_ms, left_ms and handed_ms, and overruns for attempts that were handed more; trace shows them, losses adds them up, and the metrics page has a histogram of waits and a counter of overruns. No decision reads any of it yet; the only change on the wire is fields at the end of three messages.

--- a/packages/geraniumlead-client/src/geraniumlead_client/commands/losses.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/commands/losses.py
@@ -2,7 +2,7 @@
 
 from geraniumlead_client.exit_codes import FOUND_PROBLEMS, NOT_FOUND, OK
 from geraniumlead_client.log_files import add_log_files, report_skipped
-from geraniumlead_client.loss_report import LossReport, LossRow
+from geraniumlead_client.loss_report import LONG_WAIT_MS, LossReport, LossRow
 from geraniumlead_client.management_command import ManagementCommand
 from geraniumlead_client.printing import print_error, print_json
 from geraniumlead_client.tables import render_table
@@ -90,6 +90,7 @@
         "data_centres": _by_name(report.data_centres),
         "instances": _by_name(report.instances),
         "second_sendings": report.second_sendings,
+        "times": report.times,
         "not_logged": report.not_logged,
     }
 
@@ -104,6 +105,15 @@
     _print_table("all", [report.total], total)
     hedges = report.second_sendings
     print(f"second sendings of late parts: {hedges.sent}, of which {hedges.answered} answered")
+    times = report.times
+    print(
+        f"requests that waited {LONG_WAIT_MS:.0f} ms or more before they were read: "
+        f"{times.waited}, the longest {times.longest_wait_ms:.0f} ms"
+    )
+    print(
+        f"attempts that were handed more time than their callers waited: {times.overruns}, "
+        f"at most {times.longest_overrun_ms:.0f} ms more"
+    )
     print(f"lines that instances left out of their logs: {report.not_logged}")
 
 
--- a/packages/geraniumlead-client/src/geraniumlead_client/loss_report.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/loss_report.py
@@ -24,6 +24,9 @@
 
 HEDGE_STEP = "again: late"
 
+LONG_WAIT_MS = 100.0
+"""Wait from which a request is counted; shorter ones are those of a busy event loop."""
+
 
 @dataclass(slots=True)
 class LossRow:
@@ -47,6 +50,28 @@
     answered: int = 0
 
 
+@dataclass(slots=True)
+class TimeCounts:
+    """Requests that waited before they were read, and attempts that were handed too much time.
+
+    Requests that peers delegated are counted as well. An overrun is an attempt that was handed
+    more time than its caller still waits.
+    """
+
+    waited: int = 0
+    longest_wait_ms: float = 0.0
+    overruns: int = 0
+    longest_overrun_ms: float = 0.0
+
+    def add(self, fields: dict[str, Any]) -> None:
+        """Add the line of one request."""
+        waited_ms = _as_float(fields.get("waited_ms"))
+        self.waited += waited_ms >= LONG_WAIT_MS
+        self.longest_wait_ms = max(self.longest_wait_ms, waited_ms)
+        self.overruns += _as_int(fields.get("overruns"))
+        self.longest_overrun_ms = max(self.longest_overrun_ms, _as_float(fields.get("overrun_ms")))
+
+
 @dataclass(slots=True)
 class LossReport:
     """The credit that callers lost, in total and by group.
@@ -66,6 +91,7 @@
     instances: dict[str, LossRow] = field(default_factory=dict)
     total: LossRow = field(default_factory=lambda: LossRow("all"))
     second_sendings: HedgeCounts = field(default_factory=HedgeCounts)
+    times: TimeCounts = field(default_factory=TimeCounts)
     not_logged: int = 0
     skipped: list[SkippedLine] = field(default_factory=list)
 
@@ -83,6 +109,7 @@
     def _add_request(self, line: LogLine) -> None:
         fields = line.fields
         self._count_hedges(fields)
+        self.times.add(fields)
         reason = str(fields.get("reason", ""))
         if reason.startswith(DELEGATED_PREFIX) or reason in (CALLER_DISCONNECTED, NO_ROUTE):
             return
@@ -124,6 +151,10 @@
     return value if isinstance(value, int) else 0
 
 
+def _as_float(value: object) -> float:
+    return float(value) if isinstance(value, int | float) else 0.0
+
+
 def _get_coverage(fields: dict[str, Any]) -> float:
     """Return the answered share of the shards; 1 for a request to a single upstream."""
     subrequests = _as_int(fields.get("legs"))
--- a/packages/geraniumlead-client/src/geraniumlead_client/request_trace.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/request_trace.py
@@ -18,6 +18,11 @@
     "extra",
     "latency_ms",
     "goal_left_ms",
+    "waited_ms",
+    "left_ms",
+    "handed_ms",
+    "overruns",
+    "overrun_ms",
     "retry_after_ms",
     "missing",
 )
--- a/packages/geraniumlead-client/tests/client_tests/commands/test_losses.py
+++ b/packages/geraniumlead-client/tests/client_tests/commands/test_losses.py
@@ -103,6 +103,27 @@
         self.assertEqual({"sent": 2, "answered": 1}, document["second_sendings"])
         self.assertEqual(4, document["not_logged"])
 
+    def test_waits_and_attempts_with_too_much_time_are_counted_at_peers_too(self):
+        document = self.run_losses(
+            build_line(1, waited_ms=20.5, left_ms=900.0, handed_ms=880.0),
+            build_line(
+                1,
+                "entry-2",
+                reason="caller_left",
+                waited_ms=1_520.0,
+                overruns=24,
+                overrun_ms=1_490.0,
+            ),
+            build_line(2, waited_ms=130.0, overruns=1, overrun_ms=3.0),
+        )
+        expected = {
+            "waited": 2,
+            "longest_wait_ms": 1_520.0,
+            "overruns": 25,
+            "longest_overrun_ms": 1_490.0,
+        }
+        self.assertEqual(expected, document["times"])
+
     def test_a_plot_is_drawn(self):
         path = self.folder / "losses.png"
         self.run_losses(build_line(1), build_line(3), arguments=("--plot", str(path)))
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/client.py
@@ -16,6 +16,7 @@
     StartAttempt,
 )
 from geraniumlead_server.forwarding_client.connections import (
+    CURRENT_ATTEMPT,
     IDLE_S,
     AttemptConnector,
     AttemptRequest,
@@ -61,6 +62,7 @@
             self._report(AttemptEnded(action.attempt_id, result))
 
     async def _exchange(self, action: StartAttempt) -> AttemptResult:
+        CURRENT_ATTEMPT.set(action)
         request, upstream = action.request, action.upstream
         url = URL(f"http://{upstream.address}{request.target}", encoded=True)
         headers = attempt_headers(request, upstream.upstream_id, action.time_left_ms)
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/connections.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/connections.py
@@ -1,10 +1,13 @@
 """Pooled connections on which every answer belongs to its request."""
 
 import asyncio
+from contextvars import ContextVar
 
 from aiohttp import ClientPayloadError, ClientRequest, TCPConnector
 from aiohttp.client_proto import ResponseHandler
 
+from geraniumlead.forwarding import StartAttempt
+
 IDLE_S = 30.0
 """Time after which an idle connection is closed if the upstream specifies no keep-alive time."""
 
@@ -79,12 +82,18 @@
         return None
 
 
+CURRENT_ATTEMPT: ContextVar[StartAttempt] = ContextVar("current_attempt")
+"""The attempt that the running task sends; aiohttp builds requests without a place for it."""
+
+
 class AttemptRequest(ClientRequest):
     """A request that sets the request id which its connection expects in the answer."""
 
     async def send(self, conn):
         """Set the expected request id and write the request."""
         conn.protocol.expect(self.headers.get(conn.protocol._id_header))
+        attempt = CURRENT_ATTEMPT.get()
+        attempt.deadline.record_handed(attempt.time_left_ms, self.loop.time() * 1000.0)
         return await super().send(conn)
 
 
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/forwarding_app.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/forwarding_app.py
@@ -5,8 +5,8 @@
 from geraniumlead.forwarding import ForwardedRequest, MergedReply, OwnReply, RelayedReply, Reply
 from geraniumlead_server.forwarding_driver import ForwardingDriver
 from geraniumlead_server.forwarding_front.asgi_reply import Send, send_reply
-from geraniumlead_server.forwarding_front.caller_rtt import DEFAULT_ROUND_TRIP_MS
-from geraniumlead_server.forwarding_front.scope_keys import CALLER_RTT_MS
+from geraniumlead_server.forwarding_front.scope_keys import BEGAN_MS, CALLER_RTT_MS
+from geraniumlead_server.forwarding_front.tcp_info import DEFAULT_ROUND_TRIP_MS
 from geraniumlead_server.platform import BadRequest, read_request, reply_headers
 
 BODY_TOO_LARGE = 413
@@ -42,7 +42,8 @@
             return
         key, arrived_ms = self._driver.next_key(), self._driver.now_ms()
         caller_rtt_ms = scope.get(CALLER_RTT_MS, DEFAULT_ROUND_TRIP_MS)
-        request = read_request(key, scope, body, arrived_ms, caller_rtt_ms)
+        waited_ms = arrived_ms - scope.get(BEGAN_MS, arrived_ms)
+        request = read_request(key, scope, body, arrived_ms, caller_rtt_ms, waited_ms)
         if isinstance(request, BadRequest):
             await _refuse(send, request)
             return
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/limited_protocol.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_front/limited_protocol.py
@@ -4,8 +4,8 @@
 
 from geraniumlead.routes import RequestLimits
 from geraniumlead_server.bounded_protocol import BoundedProtocol
-from geraniumlead_server.forwarding_front.caller_rtt import measure_round_trip_ms
-from geraniumlead_server.forwarding_front.scope_keys import CALLER_RTT_MS
+from geraniumlead_server.forwarding_front.scope_keys import BEGAN_MS, CALLER_RTT_MS
+from geraniumlead_server.forwarding_front.tcp_info import read_tcp_info
 
 IDLE_MARGIN_S = 2.0
 """Added to the timeout that callers know, so that they do not send on a connection that closes."""
@@ -28,14 +28,17 @@
             return limits().header_timeout_ms / 1000.0
 
         def on_message_begin(self) -> None:
-            """Store the caller's round-trip time in the scope of the request.
+            """Store the caller's round-trip time and the begin of the request in its scope.
 
+            The request may have waited in the socket while this process was busy or stopped.
             For the first request of a connection it counts twice, since the caller has waited
             one more round trip for the connection to open.
             """
             super().on_message_begin()
+            tcp_info = read_tcp_info(self.transport.get_extra_info("socket"))
+            self.scope[BEGAN_MS] = self.loop.time() * 1000.0 - tcp_info.last_data_age_ms
             if self._round_trip_ms is None:
-                self._round_trip_ms = measure_round_trip_ms(self.transport.get_extra_info("socket"))
+                self._round_trip_ms = tcp_info.round_trip_ms
                 self.scope[CALLER_RTT_MS] = 2.0 * self._round_trip_ms
             else:
                 self.scope[CALLER_RTT_MS] = self._round_trip_ms
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
@@ -33,6 +33,16 @@
         )
         self._requests = meter.create_counter("geraniumlead_forwarded_requests")
         self._extra = meter.create_counter("geraniumlead_extra_attempts")
+        self._wait = meter.create_histogram(
+            "geraniumlead_request_wait",
+            unit="ms",
+            description="time that a request of a caller or a peer waited before it was read",
+            explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_MS,
+        )
+        self._overruns = meter.create_counter(
+            "geraniumlead_deadline_overruns",
+            description="attempts that were handed more time than their caller waits",
+        )
         self._missing = meter.create_counter("geraniumlead_missing_shards")
         self._view_changes = meter.create_counter("geraniumlead_view_changes")
         for name, read in (
@@ -55,6 +65,11 @@
         self._requests.add(1, {**labels, "status": status})
         if "latency_ms" in fields:
             self._latency.record(fields["latency_ms"], labels)
+        if "waited_ms" in fields:
+            source = "peer" if fields.get("is_delegated") else "caller"
+            self._wait.record(fields["waited_ms"], {"source": source})
+        if fields.get("overruns"):
+            self._overruns.add(fields["overruns"], labels)
         if fields.get("extra"):
             self._extra.add(fields["extra"], labels)
         if fields.get("missing"):
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/requests.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/requests.py
@@ -27,7 +27,12 @@
 
 
 def read_request(
-    key: int, scope: dict, body: bytes, arrived_ms: float, caller_rtt_ms: float
+    key: int,
+    scope: dict,
+    body: bytes,
+    arrived_ms: float,
+    caller_rtt_ms: float,
+    waited_ms: float = 0.0,
 ) -> ForwardedRequest | BadRequest:
     """Return the request in an ASGI scope, with its target exactly as the caller sent it."""
     headers = []
@@ -60,6 +65,7 @@
         arrived_ms=arrived_ms,
         wait_ms=wait_ms,
         caller_rtt_ms=caller_rtt_ms,
+        waited_ms=waited_ms,
     )
 
 
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_attempt_client.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_attempt_client.py
@@ -12,6 +12,7 @@
     PossiblyExecuted,
     StartAttempt,
 )
+from geraniumlead.forwarding.deadline import Deadline
 from geraniumlead.published_upstreams import UpstreamRecord
 from geraniumlead_server.forwarding_client import AttemptClient
 from geraniumlead_standins.forwarding import StubUpstream, UpstreamFault
@@ -50,7 +51,8 @@
         )
         address = address or self.upstream.address
         record = UpstreamRecord(upstream_id, "reader", address, "noord-a", 2, True)
-        self.client.start(StartAttempt(self.number, record, request, 900.0))
+        deadline = Deadline(0.0, 0.0)
+        self.client.start(StartAttempt(self.number, record, request, 900.0, deadline))
         return self.number
 
     async def run_attempt(self, **options):
--- /dev/null
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding_telemetry/test_metrics.py
@@ -0,0 +1,46 @@
+"""Tests of the metrics that are recorded from decisions."""
+
+from random import Random
+from unittest import TestCase
+
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+
+from geraniumlead.forwarding import Forwarder, ForwardingSettings, LogDecision
+from geraniumlead_server.forwarding_telemetry.metrics import ForwardingMetrics
+
+LINE = {"route": "pages", "status": 200, "reason": "answered", "latency_ms": 20.0}
+
+
+class ForwardingMetricsTests(TestCase):
+    def setUp(self):
+        settings = ForwardingSettings(
+            instance_id="entry-1",
+            data_centre="noord-a",
+            address="10.1.0.1:1",
+            regions={"noord-a": "noord"},
+            extra_share=0.2,
+            extra_slack=50.0,
+        )
+        self.reader = InMemoryMetricReader()
+        forwarder = Forwarder(settings, Random(1))
+        self.metrics = ForwardingMetrics(forwarder, self.reader, lambda: 0.0)
+
+    def read(self, name: str) -> list:
+        data = self.reader.get_metrics_data()
+        found = data.resource_metrics[0].scope_metrics[0].metrics
+        return [
+            point for metric in found if metric.name == name for point in metric.data.data_points
+        ]
+
+    def test_overruns_are_counted_by_route_and_waits_by_source(self):
+        """Guards against upstreams that work for callers who have left, unseen by operators."""
+        self.metrics.observe(LogDecision("request", LINE | {"waited_ms": 3.0}))
+        at_peer = {"waited_ms": 1_500.0, "is_delegated": True, "overruns": 7, "overrun_ms": 900.0}
+        self.metrics.observe(LogDecision("request", LINE | at_peer))
+        waits = {
+            point.attributes["source"]: point.sum
+            for point in self.read("geraniumlead_request_wait")
+        }
+        self.assertEqual({"caller": 3.0, "peer": 1_500.0}, waits)
+        (overruns,) = self.read("geraniumlead_deadline_overruns")
+        self.assertEqual((7, "pages"), (overruns.value, overruns.attributes["route"]))
--- a/packages/geraniumlead/src/geraniumlead/forwarding/actions.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/actions.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from geraniumlead.forwarding.deadline import Deadline
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.replies import Reply
 from geraniumlead.peering import DelegatedReply, DelegationAcknowledged
@@ -11,12 +12,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Send a request to an upstream, which has ``time_left_ms`` to answer."""
+    """Send a request to an upstream, which has ``time_left_ms`` to answer.
+
+    ``deadline`` is the end of the request that the attempt is for.
+    """
 
     attempt_id: int
     upstream: UpstreamRecord
     request: ForwardedRequest
     time_left_ms: float
+    deadline: Deadline
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
@@ -97,7 +97,9 @@
         self.chooser.record_sent(upstream, now_ms)
         left_ms = open_request.end_ms - now_ms
         self._actions.append(
-            StartAttempt(attempt.attempt_id, upstream, open_request.request, left_ms)
+            StartAttempt(
+                attempt.attempt_id, upstream, open_request.request, left_ms, open_request.deadline
+            )
         )
 
     def resend(
--- /dev/null
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/deadline.py
@@ -0,0 +1,28 @@
+class Deadline:
+    """The end of a request, and the time that its attempts were handed.
+
+    ``end_ms`` is until when the request is worked on, and ``caller_end_ms`` until when its caller
+    waits; the reply needs the time between. An attempt that is handed more time than its caller
+    waits is an overrun: the upstream goes on working for nobody.
+    """
+
+    __slots__ = ("caller_end_ms", "end_ms", "max_handed_ms", "max_overrun_ms", "overruns")
+
+    def __init__(self, end_ms: float, caller_end_ms: float) -> None:
+        self.end_ms = end_ms
+        self.caller_end_ms = caller_end_ms
+        self.max_handed_ms: float | None = None
+        self.max_overrun_ms = 0.0
+        self.overruns = 0
+
+    def left_ms(self, now_ms: float) -> float:
+        """Return the time left to work on the request; negative after its end."""
+        return self.end_ms - now_ms
+
+    def record_handed(self, handed_ms: float, now_ms: float) -> None:
+        """Record that an attempt which is written now was handed a time to answer."""
+        self.max_handed_ms = max(handed_ms, self.max_handed_ms or 0.0)
+        overrun_ms = now_ms + handed_ms - self.caller_end_ms
+        if overrun_ms > 0.0:
+            self.overruns += 1
+            self.max_overrun_ms = max(self.max_overrun_ms, overrun_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegated_request_registry.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegated_request_registry.py
@@ -19,9 +19,12 @@
         self._keys: dict[tuple[str, int], int] = {}
 
     def register(
-        self, sender_id: str, message: DelegatedRequest, now_ms: float
+        self, sender_id: str, message: DelegatedRequest, waited_ms: float, now_ms: float
     ) -> ForwardedRequest:
-        """Register a delegated request; return the request to run for it."""
+        """Register a delegated request; return the request to run for it.
+
+        ``waited_ms`` is how much later than expected the message came.
+        """
         self._last_key -= 1
         sender = (sender_id, message.number)
         self._senders[self._last_key] = sender
@@ -37,6 +40,7 @@
             body=message.body,
             arrived_ms=now_ms,
             wait_ms=message.time_left_ms,
+            waited_ms=waited_ms,
             goal_left_ms=message.goal_left_ms,
             shards=message.shards,
         )
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
@@ -9,11 +9,14 @@
 
     ``key`` is unique in this process, while ``request_id`` is set by the caller and may repeat.
     ``target`` is the path and query as they were received. ``headers`` holds no hop-by-hop
-    headers. Times are in milliseconds of the monotonic clock. ``wait_ms`` is how long the caller
-    said that it waits. ``caller_rtt_ms`` is how long the request took from the caller to this
-    instance plus how long the reply will take back. Only requests that a peer delegated to this
-    instance have ``goal_left_ms``, the time from the arrival until the reply has to be sent, and
-    ``shards``, the shards to query.
+    headers. Times are in milliseconds of the monotonic clock.
+
+    ``wait_ms`` is how long the caller said that it waits, and ``waited_ms`` how much of that had
+    passed at ``arrived_ms``: in a socket while this process was busy, or, for a peer's request, on
+    the way. ``caller_rtt_ms`` is how long the request took from the caller to this instance plus
+    how long the reply will take back. Only requests that a peer delegated to this instance have
+    ``goal_left_ms``, the time from the arrival until the reply has to be sent, and ``shards``, the
+    shards to query.
     """
 
     key: int
@@ -27,6 +30,7 @@
     arrived_ms: float
     wait_ms: float | None
     caller_rtt_ms: float = 0.0
+    waited_ms: float = 0.0
     goal_left_ms: float | None = None
     shards: tuple[str, ...] = ()
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/lateness_estimator.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/lateness_estimator.py
@@ -1,5 +1,6 @@
 """Estimate when an attempt is late, and compute the deadlines of a request."""
 
+from geraniumlead.forwarding.deadline import Deadline
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.open_request import Attempt
 from geraniumlead.routes import Route
@@ -100,17 +101,19 @@
 
     def deadlines_of(
         self, request: ForwardedRequest, route: Route, margin_ms: float
-    ) -> tuple[float, float]:
-        """Return when the reply has to be sent to meet the goal, and when the request times out.
+    ) -> tuple[float, Deadline]:
+        """Return when the reply has to be sent to meet the goal, and the end of the request.
 
         ``margin_ms`` is the part of the goal that the work of this instance takes.
         """
         wait_ms = min(request.wait_ms or route.timeout_ms, route.timeout_ms)
         if request.goal_left_ms is not None:
             # The peer that delegated the request has subtracted its margins from both times.
-            return request.arrived_ms + request.goal_left_ms, request.arrived_ms + wait_ms
+            deadline = Deadline(request.arrived_ms + wait_ms, _caller_end_ms(request, route))
+            return request.arrived_ms + request.goal_left_ms, deadline
         end_ms = request.arrived_ms + max(0.0, wait_ms - END_MARGIN_MS)
-        return self._goal_ms(route, request) - request.caller_rtt_ms - margin_ms, end_ms
+        goal_ms = self._goal_ms(route, request) - request.caller_rtt_ms - margin_ms
+        return goal_ms, Deadline(end_ms, _caller_end_ms(request, route))
 
     def _goal_ms(self, route: Route, request: ForwardedRequest) -> float:
         """Return when the caller should have its reply, on the monotonic clock.
@@ -124,3 +127,11 @@
         longest_ms = max(wait_ms, self._longest_wait_ms.get(route.name, 0.0))
         self._longest_wait_ms[route.name] = longest_ms
         return request.arrived_ms + route.latency_goal_ms - (longest_ms - wait_ms)
+
+
+def _caller_end_ms(request: ForwardedRequest, route: Route) -> float:
+    """Return until when the caller of a request waits, on the monotonic clock."""
+    wait_ms = route.timeout_ms if request.wait_ms is None else request.wait_ms
+    end_ms = request.arrived_ms - request.waited_ms + min(wait_ms, route.timeout_ms)
+    # A peer states the end of its own work, which is earlier than that of its caller's wait.
+    return end_ms + END_MARGIN_MS if request.is_delegated else end_ms
--- a/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from geraniumlead.forwarding.deadline import Deadline
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.results import Completed
 from geraniumlead.published_upstreams import UpstreamRecord
@@ -69,7 +70,7 @@
     route: Route
     configuration: PublishedConfiguration
     goal_ms: float
-    end_ms: float
+    deadline: Deadline
     margin_ms: float = 0.0
     view_age_ms: float | None = None
     subrequests: list[Subrequest] = field(default_factory=list)
@@ -82,6 +83,11 @@
     is_hedged: bool = False
     steps: list[dict] = field(default_factory=list)
 
+    @property
+    def end_ms(self) -> float:
+        """Return until when the request is worked on."""
+        return self.deadline.end_ms
+
     @property
     def is_fan_out(self) -> bool:
         """Return whether the request goes to all shards of an index."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
@@ -66,11 +66,11 @@
                 self.directory.handle_goodbye(sender_id, message)
             case DelegatedRequest():
                 self._serve_delegated(sender_id, message, now_ms, is_ready)
-            case DelegationAcknowledged(number=number):
-                self.directory.record_response(sender_id)
+            case DelegationAcknowledged(number=number, sent_ms=sent_ms):
+                self.directory.record_response(sender_id, sent_ms, now_ms)
                 self._runner.delegated.tracker.record_acknowledgement(number, now_ms)
-            case DelegatedReply(number=number):
-                self.directory.record_response(sender_id)
+            case DelegatedReply(number=number, sent_ms=sent_ms):
+                self.directory.record_response(sender_id, sent_ms, now_ms)
                 delegation = self._runner.delegated.tracker.handle_reply(number, message, now_ms)
                 if delegation is not None:
                     self._runner.handle_delegated_reply(delegation, message, now_ms)
@@ -133,11 +133,13 @@
         configuration = self._published.configuration
         route = find_delegated_route(message, configuration)
         if route is None or configuration is None or not is_ready:
-            declined = DelegatedReply(message.number, is_declined=True)
+            declined = DelegatedReply(message.number, is_declined=True, sent_ms=now_ms)
             self._actions.append(PeerReply(sender_id, declined))
             return
-        self._actions.append(PeerReply(sender_id, DelegationAcknowledged(message.number)))
-        request = self._runner.delegated.registry.register(sender_id, message, now_ms)
+        acknowledged = DelegationAcknowledged(message.number, now_ms)
+        self._actions.append(PeerReply(sender_id, acknowledged))
+        waited_ms = _waited_ms(message, now_ms)
+        request = self._runner.delegated.registry.register(sender_id, message, waited_ms, now_ms)
         self._runner.start(request, route, configuration, now_ms)
 
     def _handle_delegation_change(
@@ -179,3 +181,10 @@
     def _configuration_version(self) -> int:
         configuration = self._published.configuration
         return 0 if configuration is None else configuration.version
+
+
+def _waited_ms(message: DelegatedRequest, now_ms: float) -> float:
+    """Return how much later than expected a request came; 0 if its sender can't tell."""
+    if message.end_ms is None:
+        return 0.0
+    return max(0.0, message.time_left_ms - (message.end_ms - now_ms))
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_log.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_log.py
@@ -19,6 +19,7 @@
         "latency_ms": round(now_ms - request.arrived_ms, 1),
         "goal_left_ms": round(open_request.goal_ms - now_ms, 1),
         "margin_ms": round(open_request.margin_ms, 1),
+        **_describe_time(open_request),
         "reason": reason,
         "legs": len(open_request.subrequests),
         "answered": open_request.answered,
@@ -40,3 +41,20 @@
             fields["retry_after_ms"] = retry_after_ms
     is_good = fields.get("status") == 200 and not missing and now_ms <= open_request.goal_ms
     return fields, "info" if is_good else "warning"
+
+
+def _describe_time(open_request: OpenRequest) -> dict:
+    """Return how long a request waited, what its caller had left, and what attempts were handed."""
+    request, deadline = open_request.request, open_request.deadline
+    fields = {
+        "waited_ms": round(request.waited_ms, 1),
+        "left_ms": round(deadline.caller_end_ms - request.arrived_ms, 1),
+    }
+    if request.is_delegated:
+        fields["is_delegated"] = True
+    if deadline.max_handed_ms is not None:
+        fields["handed_ms"] = round(deadline.max_handed_ms, 1)
+    if deadline.overruns:
+        fields["overruns"] = deadline.overruns
+        fields["overrun_ms"] = round(deadline.max_overrun_ms, 1)
+    return fields
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -106,10 +106,10 @@
             return
         services = self._services.of_request(request, route)
         margin_ms = self.processing_delay.margin_ms(route.latency_goal_ms, len(services), now_ms)
-        goal_ms, end_ms = self._tracker.lateness.deadlines_of(request, route, margin_ms)
+        goal_ms, deadline = self._tracker.lateness.deadlines_of(request, route, margin_ms)
         view_age_ms = self._upstream_view.age_ms(now_ms)
         open_request = OpenRequest(
-            request, route, configuration, goal_ms, end_ms, margin_ms, view_age_ms
+            request, route, configuration, goal_ms, deadline, margin_ms, view_age_ms
         )
         open_request.subrequests = [Subrequest(open_request, service) for service in services]
         self._open[request.key] = open_request
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -121,8 +121,8 @@
             return self.is_reachable(peer, now_ms)
         return peer.silent_since_ms is None and self.is_live(peer, now_ms)
 
-    def record_response(self, instance_id: str) -> None:
-        """Record that a peer responded to a request of this instance.
+    def record_response(self, instance_id: str, sent_ms: float | None, now_ms: float) -> None:
+        """Record that a peer responded to a request of this instance at ``sent_ms`` of its clock.
 
         Failure: the acknowledgement of a slow peer arrived after its query had ended. In a fleet
         of hundreds its next hello is half a minute away, and until then its shard groups went to
@@ -131,6 +131,8 @@
         peer = self.peers.get(instance_id)
         if peer is not None:
             peer.silent_since_ms = None
+            if sent_ms is not None:
+                peer.record_clock(sent_ms, now_ms)
 
     def add_contact(self, contact: PeerContact, now_ms: float) -> None:
         """Add a peer that sends a request before its first hello."""
--- a/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
@@ -81,6 +81,15 @@
         """Update the clock offset from one hello."""
         self.clock_offset_ms = min(self.clock_offset_ms, now_ms - sent_ms)
 
+    def to_peer_clock_ms(self, own_ms: float) -> float | None:
+        """Return a time of this clock on the peer's clock; None before any message of the peer.
+
+        It is early by the shortest delay of the peer's messages, and never late.
+        """
+        if self.clock_offset_ms == float("inf"):
+            return None
+        return own_ms - self.clock_offset_ms
+
     def extra_delay_ms(self, sent_ms: float, now_ms: float) -> float:
         """Return how much longer a message took than the quickest hello; 0 before any hello."""
         if self.clock_offset_ms == float("inf"):
--- a/packages/geraniumlead/src/geraniumlead/peering/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -62,7 +62,8 @@
     ``version`` is the configuration that the sender uses; a peer with an older one declines.
     The peer has to send its reply ``goal_left_ms`` after the message came, with the answers that
     it has by then. ``sender`` is where the reply goes, for a peer that has just started and does
-    not know the sender.
+    not know the sender. ``end_ms`` is when the request ends, on the receiver's clock;
+    None while the sender doesn't know that clock.
     """
 
     number: int
@@ -79,12 +80,17 @@
     time_left_ms: float
     goal_left_ms: float
     sender: PeerContact | None = None
+    end_ms: float | None = None
 
 
 class DelegationAcknowledged(Struct, frozen=True, array_like=True, tag="taken"):
-    """An acknowledgement that a delegated request arrived and is being served."""
+    """An acknowledgement that a delegated request arrived and is being served.
+
+    ``sent_ms`` is the sender's clock.
+    """
 
     number: int
+    sent_ms: float | None = None
 
 
 class DelegatedReply(Struct, frozen=True, array_like=True, tag="delegated_reply"):
@@ -93,7 +99,7 @@
     A shard is identified by its index in the request. With ``is_declined``, nothing was sent to
     any upstream. Unless ``is_final``, the peer still waits for the other shards. The final reply
     lists in ``tried`` the upstreams that each unanswered shard was sent to, one entry for each
-    attempt.
+    attempt. ``sent_ms`` is the sender's clock, in a reply that declines.
     """
 
     number: int
@@ -102,6 +108,7 @@
     records: bytes = b""
     is_final: bool = True
     tried: tuple[tuple[int, tuple[str, ...]], ...] = ()
+    sent_ms: float | None = None
 
 
 class DelegationCancelled(Struct, frozen=True, array_like=True, tag="cancelled"):
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_lateness_estimator.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_lateness_estimator.py
@@ -3,6 +3,7 @@
 from unittest import TestCase
 
 from core_tests.forwarding.builders import build_fan_out, build_record, build_request
+from geraniumlead.forwarding.deadline import Deadline
 from geraniumlead.forwarding.lateness_estimator import LatenessEstimator
 from geraniumlead.forwarding.open_request import Attempt, OpenRequest, Subrequest
 
@@ -18,7 +19,7 @@
         slow_count = round(100 * slow_share)
         for number in range(100):
             estimator.record(route, SLOW_MS if number < slow_count else MEDIAN_MS, 0.0)
-        open_request = OpenRequest(build_request(), route, None, 0.0, 0.0)
+        open_request = OpenRequest(build_request(), route, None, 0.0, Deadline(0.0, 0.0))
         attempt = Attempt(1, Subrequest(open_request, "shard-0"), build_record("x"), 0.0, 0.0, 0.0)
         return estimator.late_ms(attempt, GOAL_LEFT_MS, 100.0, has_ample_budget=True)
 
