--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_attempt_client.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_attempt_client.py
@@ -1,6 +1,7 @@
 """Tests of attempts over loopback connections, with and without faults."""
 
 import asyncio
+import time
 from unittest import IsolatedAsyncioTestCase
 
 from geraniumlead.forwarding import (
@@ -56,7 +57,9 @@
         return self.number
 
     async def run_attempt(self, **options):
-        number = self.start(**options)
+        return await self.wait_for_result(self.start(**options))
+
+    async def wait_for_result(self, number: int):
         async with asyncio.timeout(MAX_WAIT_S):
             while number not in self.results:
                 await asyncio.sleep(0.005)
@@ -72,6 +75,14 @@
         self.assertEqual("900", seen.headers["Deadline-Ms"])
         self.assertEqual([b"body"], self.upstream.bodies)
 
+    async def test_an_attempt_that_is_written_late_gets_what_is_left_then(self):
+        """Guards against a time that is fixed at the decision and written after a busy loop."""
+        number = self.start()
+        time.sleep(0.3)
+        await self.wait_for_result(number)
+        (seen,) = self.upstream.ran
+        self.assertLessEqual(int(seen.headers["Deadline-Ms"]), 600)
+
     async def test_late_duplicate_answer_does_not_reach_the_next_request(self):
         """An upstream answers a request twice, the second time on the idle connection.
 
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_delegation.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_delegation.py
@@ -7,61 +7,29 @@
     build_configuration,
     build_fan_out,
     build_record,
-    build_settings,
     build_updates,
 )
-from core_tests.forwarding.harness import ForwarderHarness
+from core_tests.forwarding.instance_pair import FAR, InstancePair
 from geraniumlead.forwarding import PeerMessageReceived, PossiblyExecuted
 from geraniumlead.peering import (
     DelegatedReply,
     DelegatedRequest,
     DelegationAcknowledged,
     DelegationCancelled,
-    decode_peering,
-    encode_peering,
 )
 from geraniumlead.peering.known_peer import DELAY_SAMPLES
 
 HIGH = bytes([9]) * 16
-NEAR = "entry-noord-1"
-FAR = "entry-midden-1"
 
 
 class TwoInstances(TestCase):
     """Two instances: one has no upstream of four shards in its region, the other is in theirs."""
 
     def setUp(self):
-        self.near = ForwarderHarness(build_settings(NEAR, address="10.1.0.1:1"))
-        self.far = ForwarderHarness(
-            build_settings(FAR, address="10.2.0.1:1", data_centre="midden-a", seeds=("10.1.0.1:1",))
-        )
-        route = build_fan_out(shard_count=5)
-        shards = route.services()
-        records = [build_record("near", shards[0])]
-        records += [build_record(f"far.{name}", name, data_centre="midden-a") for name in shards]
-        self.updates = build_updates(build_configuration(route), *records)
-        for harness in (self.near, self.far):
-            harness.handle(self.updates)
-        self.run_both_until(3_000.0)
-
-    def run_both_until(self, until_ms: float) -> None:
-        while self.near.now_ms < until_ms:
-            for harness in (self.near, self.far):
-                harness.run_until(harness.now_ms + 50.0)
-            self.deliver()
-
-    def deliver(self) -> None:
-        """Deliver all messages, encoded and decoded by the codec."""
-        by_address = {"10.1.0.1:1": self.near, "10.2.0.1:1": self.far}
-        while self.near.outgoing or self.far.outgoing:
-            for sender_id, harness in ((NEAR, self.near), (FAR, self.far)):
-                messages, harness.outgoing = harness.outgoing, []
-                for outgoing in messages:
-                    message = decode_peering(encode_peering(outgoing.message))
-                    by_address[outgoing.address].handle(PeerMessageReceived(sender_id, message))
-
-    def find_messages(self, harness: ForwarderHarness, kind: type) -> list:
-        return [outgoing for outgoing in harness.outgoing if isinstance(outgoing.message, kind)]
+        pair = InstancePair()
+        self.near, self.far = pair.near, pair.far
+        self.run_both_until, self.deliver = pair.run_until, pair.deliver
+        self.find_messages = pair.find_messages
 
     def test_far_shards_cost_one_message_and_the_reply_is_complete(self):
         (attempt,) = self.near.ask()
--- /dev/null
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_time_left.py
@@ -0,0 +1,84 @@
+"""Test that no attempt is handed more time than its caller has left, whoever passes it on."""
+
+from unittest import TestCase
+
+from core_tests.forwarding.builders import (
+    build_configuration,
+    build_fan_out,
+    build_record,
+    build_updates,
+)
+from core_tests.forwarding.harness import ForwarderHarness
+from core_tests.forwarding.instance_pair import NEAR, InstancePair
+from geraniumlead.forwarding import PeerMessageReceived
+from geraniumlead.peering import DelegatedRequest, DelegationCancelled
+
+HOPELESS_MS = (0.0, 7.0, 15.0)
+
+
+class AtTheCallersInstanceTests(TestCase):
+    def build(self, *records, **changes) -> ForwarderHarness:
+        route = build_fan_out(shard_count=4, **changes)
+        harness = ForwarderHarness()
+        records = [build_record(f"{name}.{n}", name) for name in route.services() for n in (1, 2)]
+        harness.handle(build_updates(build_configuration(route), *records))
+        return harness
+
+    def test_a_caller_without_time_is_refused_before_anything_is_sent(self):
+        """Guards against a fan-out for a caller who is gone before any upstream can answer.
+
+        A wait of 0 was taken for an absent one, and became the whole timeout of the route.
+        """
+        for wait_ms in HOPELESS_MS:
+            with self.subTest(wait_ms=wait_ms):
+                harness = self.build()
+                harness.ask(wait_ms=wait_ms)
+                self.assertEqual([], harness.started)
+                self.assertEqual(503, harness.replies[1].status)
+
+    def test_a_request_without_a_stated_wait_gets_the_timeout_of_its_route(self):
+        harness = self.build(timeout_ms=2_000.0)
+        harness.ask(wait_ms=None)
+        self.assertEqual(4, len(harness.started))
+        for handed_ms in harness.handed_ms():
+            self.assertAlmostEqual(2_000.0, handed_ms, delta=30.0)
+
+
+class AtAPeerTests(TestCase):
+    """The near instance delegates four shards to the far one, and the message is held up."""
+
+    def setUp(self):
+        self.pair = InstancePair()
+        self.near, self.far = self.pair.near, self.pair.far
+
+    def deliver_request(self) -> None:
+        """Deliver the delegated request alone; what the near instance sent after it is lost."""
+        (outgoing,) = self.pair.find_messages(self.near, DelegatedRequest)
+        self.near.outgoing.clear()
+        self.far.handle(PeerMessageReceived(NEAR, outgoing.message))
+
+    def test_a_request_that_was_held_up_gets_what_is_left(self):
+        """Guards against a wait between two instances that is given to upstreams once more.
+
+        A cut of the network, or a peer that stands still, holds the message back. Its cancellation
+        is lost, or its sender is dead, so nothing else stops the peer.
+        """
+        for held_ms, wait_ms in ((1_500.0, 1_000.0), (3_000.0, 1_000.0), (400.0, 1_000.0)):
+            with self.subTest(held_ms=held_ms):
+                self.setUp()
+                self.near.ask(wait_ms=wait_ms)
+                self.pair.advance(held_ms)
+                self.deliver_request()
+                left_ms = wait_ms - held_ms
+                self.assertEqual([], [ms for ms in self.far.handed_ms() if ms > left_ms])
+
+    def test_work_at_a_peer_ends_with_the_request_if_its_cancellation_is_lost(self):
+        self.near.ask(wait_ms=1_000.0)
+        self.pair.deliver()
+        self.near.leave(1)
+        self.assertEqual(1, len(self.pair.find_messages(self.near, DelegationCancelled)))
+        self.near.outgoing.clear()
+        self.assertEqual(4, len(self.far.started))
+        self.far.run_until(self.far.now_ms + 1_000.0)
+        self.assertEqual(4, len(self.far.cancelled))
+        self.assertEqual(4, len(self.far.started))
