Give only requests that state no wait the whole timeout of their route

A caller, or a peer, whose time was over had its request handed to upstreams with the whole timeout of the route: `request.wait_ms or route.timeout_ms` read 0 as absent, and a Deadline-Ms below 0 was dropped as invalid. A delegated request that left with less time than its way takes carries 0 (the users' trace: 760 in place of 7 ms, eight peers).

An absent wait alone now takes the timeout; a time that is over is 0.

--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/requests.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/requests.py
@@ -1,6 +1,7 @@
 """Parse callers' requests."""
 
 from dataclasses import dataclass
+from math import isnan
 
 from geraniumlead.forwarding import ForwardedRequest
 from geraniumlead_server.platform.names import (
@@ -85,8 +86,9 @@
 
 
 def _read_milliseconds(value: str) -> float | None:
+    """Return a time, 0 for one that is over already, and None for what is no time."""
     try:
         found = float(value)
     except ValueError:
         return None
-    return found if found >= 0.0 else None
+    return None if isnan(found) else max(0.0, found)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/lateness_estimator.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/lateness_estimator.py
@@ -106,7 +106,7 @@
 
         ``margin_ms`` is the part of the goal that the work of this instance takes.
         """
-        wait_ms = min(request.wait_ms or route.timeout_ms, route.timeout_ms)
+        wait_ms = _wait_ms(request, route)
         if request.goal_left_ms is not None:
             # The peer that delegated the request has subtracted its margins from both times.
             deadline = Deadline(request.arrived_ms + wait_ms, _caller_end_ms(request, route))
@@ -129,9 +129,13 @@
         return request.arrived_ms + route.latency_goal_ms - (longest_ms - wait_ms)
 
 
+def _wait_ms(request: ForwardedRequest, route: Route) -> float:
+    """Return how long a request may take; only one that states no wait gets the whole timeout."""
+    return route.timeout_ms if request.wait_ms is None else min(request.wait_ms, route.timeout_ms)
+
+
 def _caller_end_ms(request: ForwardedRequest, route: Route) -> float:
     """Return until when the caller of a request waits, on the monotonic clock."""
-    wait_ms = route.timeout_ms if request.wait_ms is None else request.wait_ms
-    end_ms = request.arrived_ms - request.waited_ms + min(wait_ms, route.timeout_ms)
+    end_ms = request.arrived_ms - request.waited_ms + _wait_ms(request, route)
     # A peer states the end of its own work, which is earlier than that of its caller's wait.
     return end_ms + END_MARGIN_MS if request.is_delegated else end_ms
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_time_left.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_time_left.py
@@ -72,6 +72,18 @@
                 left_ms = wait_ms - held_ms
                 self.assertEqual([], [ms for ms in self.far.handed_ms() if ms > left_ms])
 
+    def test_a_peer_is_not_asked_for_what_it_cannot_answer_in_time(self):
+        """Guards against a delegated request whose time is over when it arrives.
+
+        Its 0 ms were taken for an absent wait, and became the whole timeout of the route.
+        """
+        for wait_ms in (*HOPELESS_MS, 21.0, 25.0, 60.0):
+            with self.subTest(wait_ms=wait_ms):
+                self.setUp()
+                self.near.ask(wait_ms=wait_ms)
+                self.pair.deliver()
+                self.assertEqual([], [ms for ms in self.far.handed_ms() if ms > wait_ms])
+
     def test_work_at_a_peer_ends_with_the_request_if_its_cancellation_is_lost(self):
         self.near.ask(wait_ms=1_000.0)
         self.pair.deliver()
