Refuse a request that nothing can answer in time before it is sent

A caller that tried again in the last milliseconds of its wait, as each 504 that leaves 20 ms before the end invites, had its query sent to all shards and delegated to peers: 87 subrequests and eight messages for an answer that could not come (the users' trace), and 504 instead of the promise that nothing ran.

What an upstream needs is known: the fastest of the route's latest latencies and the round trip to its data centre. A subrequest that has less time left fails as too_late before it is sent, at its first attempt and at each later one; a request that thereby cannot succeed gets 503 with nothing sent. No request is delegated to a peer whose reply cannot be back before the end.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/aggregator_chooser.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/aggregator_chooser.py
@@ -123,6 +123,7 @@
             and peer.open_delegations < MAX_OPEN_DELEGATIONS
             and self._directory.may_be_reachable(peer, now_ms)
             and self._is_silence_noticed_in_time(peer, open_request.goal_ms - now_ms)
+            and _can_reply_before_end(peer, open_request, now_ms)
         )
 
     def _is_silence_noticed_in_time(self, peer: KnownPeer, goal_left_ms: float) -> bool:
@@ -136,6 +137,12 @@
         return peer.open_delegations, self._random.random()
 
 
+def _can_reply_before_end(peer: KnownPeer, open_request: OpenRequest, now_ms: float) -> bool:
+    """Return whether a peer's reply can be here before the end of a request."""
+    way_ms = 2.0 * peer.estimated_delay_ms
+    return open_request.deadline.left_ms(now_ms) - way_ms >= MIN_GOAL_LEFT_MS
+
+
 def _assume_delays(peers: Iterable[KnownPeer]) -> None:
     """Assume for peers without a known network delay the shortest one of their data centre."""
     one_way_ms = min(
--- a/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
@@ -70,6 +70,27 @@
             skip_avoided=skip_avoided,
         )
 
+    def choose_in_time(
+        self, subrequest: Subrequest, now_ms: float, skip_avoided: bool = False
+    ) -> UpstreamRecord | None:
+        """Return the upstream for the next attempt, or None if none can answer before the end."""
+        upstream = self.choose(subrequest, now_ms, skip_avoided)
+        if upstream is None or not self.is_in_time(subrequest.request, upstream, now_ms):
+            return None
+        return upstream
+
+    def is_in_time(
+        self, open_request: OpenRequest, upstream: UpstreamRecord, now_ms: float
+    ) -> bool:
+        """Return whether an upstream may answer before the end of a request.
+
+        Failure: a caller retries with a few milliseconds left. A whole index is queried, every
+        upstream works on it, and no answer can reach the caller.
+        """
+        fastest_ms = self.lateness.fastest_latency_ms(open_request.route, now_ms)
+        fastest_ms += self.relative_rtts.relative_rtt_ms(upstream.data_centre)
+        return open_request.deadline.left_ms(now_ms) >= fastest_ms
+
     def could_wait(self, subrequest: Subrequest, now_ms: float) -> bool:
         """Return whether a subrequest only lacks a free call slot at an upstream."""
         open_request = subrequest.request
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegation_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegation_tracker.py
@@ -107,7 +107,7 @@
         self._last_number += 1
         one_way_ms = peer.estimated_delay_ms
         request = open_request.request
-        time_left_ms = max(0.0, open_request.end_ms - now_ms - one_way_ms)
+        time_left_ms = open_request.deadline.left_ms(now_ms) - one_way_ms
         processing_ms = max(PEER_PROCESSING_MS, self._reply_delay.quantile_ms(now_ms))
         goal_left_ms = open_request.goal_ms - now_ms - 2.0 * one_way_ms - processing_ms
         if goal_left_ms < MIN_GOAL_LEFT_MS:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/lateness_estimator.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/lateness_estimator.py
@@ -44,6 +44,12 @@
 all at once and take long, because connections are new and upstreams are busy. With the share above
 two in three subrequests were sent again, which used up the budget of the next ten seconds."""
 
+FAST_SHARE = 0.95
+"""Share of the attempts that take longer than what counts as the fastest latency."""
+
+MIN_LATENCY_MS = 2.0
+"""Assumed fastest latency while none is known: a round trip in a data centre and little work."""
+
 END_MARGIN_MS = 20.0
 """Time before the end of the caller's wait at which a reply is sent, so that it arrives in time."""
 
@@ -66,6 +72,11 @@
         found_ms = self._detector.delay_ms(route.name, 0.5, now_ms)
         return found_ms or UNKNOWN_MEDIAN_GOAL_SHARE * route.latency_goal_ms
 
+    def fastest_latency_ms(self, route: Route, now_ms: float) -> float:
+        """Return the latency, without the relative RTT, below which hardly any attempt succeeds."""
+        found_ms = self._detector.delay_ms(route.name, FAST_SHARE, now_ms)
+        return MIN_LATENCY_MS if found_ms is None else found_ms
+
     def has_latencies(self, route: Route, now_ms: float) -> bool:
         """Return whether enough latencies of the route are known."""
         return self._detector.delay_ms(route.name, LATE_SHARE, now_ms) is not None
@@ -111,7 +122,7 @@
             # The peer that delegated the request has subtracted its margins from both times.
             deadline = Deadline(request.arrived_ms + wait_ms, _caller_end_ms(request, route))
             return request.arrived_ms + request.goal_left_ms, deadline
-        end_ms = request.arrived_ms + max(0.0, wait_ms - END_MARGIN_MS)
+        end_ms = request.arrived_ms + wait_ms - END_MARGIN_MS
         goal_ms = self._goal_ms(route, request) - request.caller_rtt_ms - margin_ms
         return goal_ms, Deadline(end_ms, _caller_end_ms(request, route))
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -16,7 +16,7 @@
 from geraniumlead.forwarding.request_services import RequestServices
 from geraniumlead.forwarding.results import AttemptResult
 from geraniumlead.forwarding.retry_after import RetryAfter
-from geraniumlead.forwarding.subrequest_sender import SubrequestSender
+from geraniumlead.forwarding.subrequest_sender import NO_UPSTREAM, TOO_LATE, SubrequestSender
 from geraniumlead.forwarding.upstream_chooser import UpstreamChooser
 from geraniumlead.forwarding.waiting_subrequests import MAX_WAIT_GOAL_SHARE
 from geraniumlead.forwarding.wake_times import NEVER_MS, WakeTimes
@@ -117,7 +117,8 @@
         if open_request.cannot_succeed:
             self._sender.record_first(open_request, now_ms)
             # Nothing has been sent, so the reply can state that nothing was executed.
-            self._finish(open_request, "no_upstream", now_ms)
+            is_too_late = any(item.failure == TOO_LATE for item in open_request.subrequests)
+            self._finish(open_request, TOO_LATE if is_too_late else NO_UPSTREAM, now_ms)
             return
         if not request.is_delegated and self._tracker.isolation.should_refuse(now_ms):
             self._finish(open_request, "unreachable", now_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
@@ -15,6 +15,11 @@
 
 NEVER_MS = float("inf")
 
+NO_UPSTREAM = "no_upstream"
+TOO_LATE = "too_late"
+"""Reasons for which a subrequest fails before it is sent: no upstream may be used, or none can
+answer before the end of the request."""
+
 STRAGGLER_ANSWERED_SHARE = 0.5
 """Share of a query's subrequests that have to be answered before one of the others counts as a
 straggler, while the latencies of the route are not known."""
@@ -38,18 +43,24 @@
     def choose_upstreams(
         self, open_request: OpenRequest, now_ms: float
     ) -> list[tuple[Subrequest, UpstreamRecord]]:
-        """Choose upstreams; a subrequest waits if only a call slot is lacking, else it fails."""
+        """Choose upstreams; a subrequest waits if only a call slot is lacking, else it fails.
+
+        One whose upstream can't answer before the end of the request fails, too.
+        """
         chosen: list[tuple[Subrequest, UpstreamRecord]] = []
         for subrequest in open_request.subrequests:
             upstream = None
             if not self._waiting.has(subrequest.service):
                 upstream = self._tracker.choose(subrequest, now_ms)
             if upstream is not None:
-                chosen.append((subrequest, upstream))
+                if self._tracker.is_in_time(open_request, upstream, now_ms):
+                    chosen.append((subrequest, upstream))
+                else:
+                    open_request.settle_failed(subrequest, TOO_LATE, now_ms)
             elif not (
                 self._tracker.could_wait(subrequest, now_ms) and self._waiting.add(subrequest)
             ):
-                open_request.settle_failed(subrequest, "no_upstream", now_ms)
+                open_request.settle_failed(subrequest, NO_UPSTREAM, now_ms)
         return chosen
 
     def record_first(self, open_request: OpenRequest, now_ms: float) -> None:
@@ -70,6 +81,9 @@
             if upstream is None:
                 self._waiting.add(subrequest)
                 break
+            if not self._tracker.is_in_time(subrequest.request, upstream, now_ms):
+                subrequest.request.settle_failed(subrequest, TOO_LATE, now_ms)
+                continue
             subrequest.request.record_step(
                 subrequest, upstream.upstream_id, "waited for a place", now_ms
             )
@@ -87,7 +101,7 @@
         """
         for subrequest in subrequests:
             is_too_late = open_request.has_enough and now_ms >= open_request.goal_ms
-            upstream = None if is_too_late else self._tracker.choose(subrequest, now_ms)
+            upstream = None if is_too_late else self._tracker.choose_in_time(subrequest, now_ms)
             if upstream is None:
                 open_request.settle_failed(subrequest, f"{reason}, no upstream", now_ms)
             elif not subrequest.sent_to:
@@ -113,7 +127,7 @@
         for subrequest in subrequests:
             if subrequest.open_attempts or not may_send(subrequest.service, now_ms):
                 continue
-            upstream = self._tracker.choose(subrequest, now_ms, skip_avoided=not is_overdue)
+            upstream = self._tracker.choose_in_time(subrequest, now_ms, skip_avoided=not is_overdue)
             if upstream is not None:
                 self._tracker.resend(subrequest, upstream, "peer is late", now_ms)
 
@@ -179,7 +193,7 @@
                 self._tracker.record_overdue(attempt, now_ms)
             if not self._tracker.budgets.may_hedge(subrequest.service, now_ms):
                 continue
-            upstream = self._tracker.choose(subrequest, now_ms, skip_avoided=True)
+            upstream = self._tracker.choose_in_time(subrequest, now_ms, skip_avoided=True)
             if upstream is not None:
                 self._tracker.resend(subrequest, upstream, "late", now_ms)
 
@@ -227,7 +241,7 @@
             if open_request.is_hedged and not is_free:
                 reason = f"{reason}, asked elsewhere"
             elif is_free or self._tracker.budgets.may_retry(subrequest.service, now_ms):
-                upstream = self._tracker.choose(subrequest, now_ms)
+                upstream = self._tracker.choose_in_time(subrequest, now_ms)
                 if upstream is not None:
                     self._retry(subrequest, upstream, reason, is_free, now_ms)
                     return
