Count what a request waited before it was read, at callers and at peers

Upstreams worked for callers who had left: a peer counted a delegated request's time from when it read the message, and an instance a caller's from when its body was whole. What it had waited in a socket, in a cut of the network or behind a busy or frozen process was given once more. Only a cancellation in the same batch hid it.

A request's end is now a point in time that goes with it. The goal counts from the same moment.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/deadline.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/deadline.py
@@ -1,3 +1,10 @@
+from geraniumlead.forwarding.forwarded_request import ForwardedRequest
+from geraniumlead.routes import Route
+
+END_MARGIN_MS = 20.0
+"""Time before the end of the caller's wait at which a reply is sent, so that it arrives in time."""
+
+
 class Deadline:
     """The end of a request, and the time that its attempts were handed.
 
@@ -15,6 +22,21 @@
         self.max_overrun_ms = 0.0
         self.overruns = 0
 
+    @classmethod
+    def from_request(cls, request: ForwardedRequest, route: Route) -> "Deadline":
+        """Return the end of a request, however long it waited before it was read here.
+
+        A request that states no wait has the timeout of its route. A peer states the end of its own
+        work, from which the margin for the caller is already subtracted.
+        """
+        wait_ms = route.timeout_ms
+        if request.wait_ms is not None:
+            wait_ms = min(request.wait_ms, wait_ms)
+        end_ms = request.began_ms + wait_ms
+        if request.is_delegated:
+            return cls(end_ms, end_ms + END_MARGIN_MS)
+        return cls(end_ms - END_MARGIN_MS, end_ms)
+
     def left_ms(self, now_ms: float) -> float:
         """Return the time left to work on the request; negative after its end."""
         return self.end_ms - now_ms
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
@@ -34,6 +34,11 @@
     goal_left_ms: float | None = None
     shards: tuple[str, ...] = ()
 
+    @property
+    def began_ms(self) -> float:
+        """Return when the request reached this machine, or, of a peer's, should have."""
+        return self.arrived_ms - self.waited_ms
+
     @property
     def fingerprint(self) -> int:
         """Return a hash that is the same for each repeat of the request by any caller."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/lateness_estimator.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/lateness_estimator.py
@@ -50,9 +50,6 @@
 MIN_LATENCY_MS = 2.0
 """Assumed fastest latency while none is known: a round trip in a data centre and little work."""
 
-END_MARGIN_MS = 20.0
-"""Time before the end of the caller's wait at which a reply is sent, so that it arrives in time."""
-
 
 class LatenessEstimator:
     """An estimator of lateness from the latencies of each route without the relative RTT."""
@@ -117,14 +114,12 @@
 
         ``margin_ms`` is the part of the goal that the work of this instance takes.
         """
-        wait_ms = _wait_ms(request, route)
+        deadline = Deadline.from_request(request, route)
         if request.goal_left_ms is not None:
-            # The peer that delegated the request has subtracted its margins from both times.
-            deadline = Deadline(request.arrived_ms + wait_ms, _caller_end_ms(request, route))
+            # The peer that delegated the request has subtracted its margins from the goal.
             return request.arrived_ms + request.goal_left_ms, deadline
-        end_ms = request.arrived_ms + wait_ms - END_MARGIN_MS
         goal_ms = self._goal_ms(route, request) - request.caller_rtt_ms - margin_ms
-        return goal_ms, Deadline(end_ms, _caller_end_ms(request, route))
+        return goal_ms, deadline
 
     def _goal_ms(self, route: Route, request: ForwardedRequest) -> float:
         """Return when the caller should have its reply, on the monotonic clock.
@@ -134,19 +129,7 @@
         """
         wait_ms = request.wait_ms
         if wait_ms is None:
-            return request.arrived_ms + route.latency_goal_ms
+            return request.began_ms + route.latency_goal_ms
         longest_ms = max(wait_ms, self._longest_wait_ms.get(route.name, 0.0))
         self._longest_wait_ms[route.name] = longest_ms
-        return request.arrived_ms + route.latency_goal_ms - (longest_ms - wait_ms)
-
-
-def _wait_ms(request: ForwardedRequest, route: Route) -> float:
-    """Return how long a request may take; only one that states no wait gets the whole timeout."""
-    return route.timeout_ms if request.wait_ms is None else min(request.wait_ms, route.timeout_ms)
-
-
-def _caller_end_ms(request: ForwardedRequest, route: Route) -> float:
-    """Return until when the caller of a request waits, on the monotonic clock."""
-    end_ms = request.arrived_ms - request.waited_ms + _wait_ms(request, route)
-    # A peer states the end of its own work, which is earlier than that of its caller's wait.
-    return end_ms + END_MARGIN_MS if request.is_delegated else end_ms
+        return request.began_ms + route.latency_goal_ms - (longest_ms - wait_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
@@ -24,6 +24,9 @@
 MAX_LOGGED_PEERS = 20
 """Maximum number of live peers named in a log entry; it always has their count."""
 
+MIN_TIME_LEFT_MS = 2.0
+"""Least time left with which a delegated request is served; hardly any upstream is faster."""
+
 COUNT_INTERVAL_MS = 500.0
 """Interval at which the live instances are counted: counting looks at every peer, and a peer counts
 as gone only after seconds."""
@@ -133,15 +136,39 @@
         configuration = self._published.configuration
         route = find_delegated_route(message, configuration)
         if route is None or configuration is None or not is_ready:
-            declined = DelegatedReply(message.number, is_declined=True, sent_ms=now_ms)
-            self._actions.append(PeerReply(sender_id, declined))
+            self._decline(sender_id, message, now_ms)
+            return
+        waited_ms = _waited_ms(message, now_ms)
+        if message.time_left_ms - waited_ms < MIN_TIME_LEFT_MS:
+            self._decline_late(sender_id, message, waited_ms, now_ms)
             return
         acknowledged = DelegationAcknowledged(message.number, now_ms)
         self._actions.append(PeerReply(sender_id, acknowledged))
-        waited_ms = _waited_ms(message, now_ms)
         request = self._runner.delegated.registry.register(sender_id, message, waited_ms, now_ms)
         self._runner.start(request, route, configuration, now_ms)
 
+    def _decline(self, sender_id: str, message: DelegatedRequest, now_ms: float) -> None:
+        declined = DelegatedReply(message.number, is_declined=True, sent_ms=now_ms)
+        self._actions.append(PeerReply(sender_id, declined))
+
+    def _decline_late(
+        self, sender_id: str, message: DelegatedRequest, waited_ms: float, now_ms: float
+    ) -> None:
+        """Decline a request that was held up until its end.
+
+        Failure: the network between two instances is cut for seconds, or this one stands still.
+        The message comes later, its cancellation is lost or still to come, and upstreams work for
+        a caller who has long left.
+        """
+        fields = {
+            "peer": sender_id,
+            "request_id": message.request_id,
+            "waited_ms": round(waited_ms, 1),
+            "left_ms": round(message.time_left_ms - waited_ms, 1),
+        }
+        self._actions.append(LogDecision("delegated_too_late", fields, "warning"))
+        self._decline(sender_id, message, now_ms)
+
     def _handle_delegation_change(
         self, sender_id: str, message: DelegationCancelled | DelegationHedged, now_ms: float
     ) -> None:
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_time_left.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_time_left.py
@@ -12,7 +12,7 @@
 from core_tests.forwarding.harness import ForwarderHarness
 from core_tests.forwarding.instance_pair import NEAR, InstancePair
 from geraniumlead.forwarding import PeerMessageReceived, PossiblyExecuted
-from geraniumlead.peering import DelegatedRequest, DelegationCancelled
+from geraniumlead.peering import DelegatedReply, DelegatedRequest, DelegationCancelled
 
 HOPELESS_MS = (0.0, 7.0, 15.0)
 
@@ -37,6 +37,27 @@
                 self.assertEqual([], harness.started)
                 self.assertEqual(503, harness.replies[1].status)
 
+    def test_a_request_that_waited_in_a_socket_gets_what_is_left(self):
+        """Guards against a busy or stopped instance that gives its callers' waits once more.
+
+        A caller waits one second, and its request is read after most of it, or all.
+        """
+        for waited_ms, attempts in ((700.0, 4), (990.0, 0), (1_500.0, 0), (3_000.0, 0)):
+            with self.subTest(waited_ms=waited_ms):
+                harness = self.build()
+                harness.ask(wait_ms=1_000.0, waited_ms=waited_ms)
+                self.assertEqual(attempts, len(harness.started))
+                left_ms = 1_000.0 - waited_ms
+                self.assertEqual([], [ms for ms in harness.handed_ms() if ms > left_ms])
+
+    def test_the_goal_counts_from_when_the_request_came(self):
+        """Half of the shards answer, which is enough; the goal of 300 ms has passed in the socket."""
+        harness = self.build()
+        attempts = harness.ask(wait_ms=1_000.0, waited_ms=400.0)
+        for attempt in attempts[:2]:
+            harness.end(attempt, build_answer(signature=attempt.upstream.service))
+        self.assertEqual(2, harness.replies[1].missing)
+
     def test_a_request_is_refused_by_what_its_upstreams_need(self):
         """All upstreams take 100 ms, so a caller with 80 ms left can get no answer.
 
@@ -94,6 +115,16 @@
                 left_ms = wait_ms - held_ms
                 self.assertEqual([], [ms for ms in self.far.handed_ms() if ms > left_ms])
 
+    def test_a_request_that_is_over_is_declined_at_once(self):
+        """Guards against a peer that neither answers nor declines what it cannot do in time."""
+        self.near.ask(wait_ms=1_000.0)
+        self.pair.advance(1_500.0)
+        self.far.outgoing.clear()
+        self.deliver_request()
+        self.assertEqual([], self.far.started)
+        (reply,) = self.pair.find_messages(self.far, DelegatedReply)
+        self.assertTrue(reply.message.is_declined)
+
     def test_a_peer_is_not_asked_for_what_it_cannot_answer_in_time(self):
         """Guards against a delegated request whose time is over when it arrives.
 
