Compute the time that an attempt is handed when it is written

Upstreams worked for callers who had left: the time in an attempt's header was fixed when the attempt was decided, and the request was written after the loop's next turn, a wait for a connection and a connect of up to 250 ms.

StartAttempt carries the request's deadline in place of a time; the client computes what is left where the headers are written. If nothing is, nothing is sent, the connection is kept, and the forwarder learns it as NotSent: a request that is not idempotent can then promise that it has not run.

--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/client.py
@@ -12,6 +12,7 @@
     AttemptEnded,
     AttemptResult,
     NotReached,
+    NotSent,
     PossiblyExecuted,
     StartAttempt,
 )
@@ -20,6 +21,7 @@
     IDLE_S,
     AttemptConnector,
     AttemptRequest,
+    DeadlineOverError,
 )
 from geraniumlead_server.platform import REQUEST_ID_HEADER, attempt_headers, read_answer
 
@@ -65,7 +67,7 @@
         CURRENT_ATTEMPT.set(action)
         request, upstream = action.request, action.upstream
         url = URL(f"http://{upstream.address}{request.target}", encoded=True)
-        headers = attempt_headers(request, upstream.upstream_id, action.time_left_ms)
+        headers = attempt_headers(request, upstream.upstream_id)
         try:
             async with self._get_session().request(
                 request.method,
@@ -76,6 +78,8 @@
             ) as response:
                 body = await response.read()
                 return read_answer(request, response.status, response.headers.items(), body)
+        except DeadlineOverError:
+            return NotSent()
         except ConnectionTimeoutError as error:
             return NotReached(type(error).__name__, is_timeout=True)
         except ClientConnectorError as error:
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/connections.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/connections.py
@@ -7,6 +7,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from geraniumlead.forwarding import StartAttempt
+from geraniumlead_server.platform import set_time_left
 
 IDLE_S = 30.0
 """Time after which an idle connection is closed if the upstream specifies no keep-alive time."""
@@ -86,14 +87,33 @@
 """The attempt that the running task sends; aiohttp builds requests without a place for it."""
 
 
+MIN_HANDED_MS = 1.0
+"""Least time that an upstream is handed; its header counts in whole milliseconds."""
+
+
+class DeadlineOverError(Exception):
+    """Raised when the end of a request comes before it can be written."""
+
+
 class AttemptRequest(ClientRequest):
-    """A request that sets the request id which its connection expects in the answer."""
+    """A request that says, when it is written, how much time is left and which answer it expects.
+
+    Failure: the time is fixed when the attempt is decided. It then waits for a connection or a
+    busy event loop, and its upstream works on after the caller has left.
+    """
 
     async def send(self, conn):
-        """Set the expected request id and write the request."""
+        """Set the time left and the expected request id, and write the request.
+
+        Raise DeadlineOverError, and keep the connection, if no time is left.
+        """
+        deadline = CURRENT_ATTEMPT.get().deadline
+        now_ms = self.loop.time() * 1000.0
+        if deadline.left_ms(now_ms) < MIN_HANDED_MS:
+            conn.release()
+            raise DeadlineOverError
+        deadline.record_handed(set_time_left(self.headers, deadline.left_ms(now_ms)), now_ms)
         conn.protocol.expect(self.headers.get(conn.protocol._id_header))
-        attempt = CURRENT_ATTEMPT.get()
-        attempt.deadline.record_handed(attempt.time_left_ms, self.loop.time() * 1000.0)
         return await super().send(conn)
 
 
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/__init__.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/__init__.py
@@ -1,6 +1,6 @@
 """Names, formats and calls of the users' platform; no decisions are made here."""
 
-from geraniumlead_server.platform.answers import attempt_headers, read_answer
+from geraniumlead_server.platform.answers import attempt_headers, read_answer, set_time_left
 from geraniumlead_server.platform.names import (
     READINESS_PATH,
     REQUEST_ID_HEADER,
@@ -26,4 +26,5 @@
     "read_answer",
     "read_request",
     "reply_headers",
+    "set_time_left",
 ]
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/answers.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/answers.py
@@ -1,6 +1,6 @@
 """Build the headers of requests to upstreams, and interpret the answers."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, MutableMapping
 
 from geraniumlead.forwarding import (
     AttemptResult,
@@ -24,15 +24,16 @@
 _REQUEST_ID = REQUEST_ID_HEADER.lower()
 
 
-def attempt_headers(
-    request: ForwardedRequest, upstream_id: str, time_left_ms: float
-) -> list[tuple[str, str]]:
-    """Return the headers of one attempt at an upstream."""
-    return [
-        *request.headers,
-        (WAIT_HEADER, str(max(1, int(time_left_ms)))),
-        (UPSTREAM_ID_HEADER, upstream_id),
-    ]
+def attempt_headers(request: ForwardedRequest, upstream_id: str) -> list[tuple[str, str]]:
+    """Return the headers of one attempt at an upstream, but for the time it has left."""
+    return [*request.headers, (UPSTREAM_ID_HEADER, upstream_id)]
+
+
+def set_time_left(headers: MutableMapping[str, str], time_left_ms: float) -> int:
+    """Set how long the upstream may work, in whole milliseconds; return that time."""
+    handed_ms = int(time_left_ms)
+    headers[WAIT_HEADER] = str(handed_ms)
+    return handed_ms
 
 
 def read_answer(
--- a/packages/geraniumlead/src/geraniumlead/forwarding/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/__init__.py
@@ -7,6 +7,7 @@
     SendReply,
     StartAttempt,
 )
+from geraniumlead.forwarding.deadline import Deadline
 from geraniumlead.forwarding.events import (
     AttemptEnded,
     CallerDisconnected,
@@ -26,6 +27,7 @@
     Completed,
     NotExecuted,
     NotReached,
+    NotSent,
     PossiblyExecuted,
 )
 from geraniumlead.forwarding.updates import (
@@ -43,6 +45,7 @@
     "CancelAttempt",
     "Completed",
     "ConfigurationSeen",
+    "Deadline",
     "EvacuationSeen",
     "ForwardedRequest",
     "Forwarder",
@@ -53,6 +56,7 @@
     "MergedReply",
     "NotExecuted",
     "NotReached",
+    "NotSent",
     "OwnReply",
     "PeerMessageReceived",
     "PossiblyExecuted",
--- a/packages/geraniumlead/src/geraniumlead/forwarding/actions.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/actions.py
@@ -12,15 +12,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Send a request to an upstream, which has ``time_left_ms`` to answer.
+    """Send a request to an upstream, which may work on it until ``deadline``.
 
-    ``deadline`` is the end of the request that the attempt is for.
+    How much time that leaves is computed when the attempt is written, which may be after a wait
+    for a connection.
     """
 
     attempt_id: int
     upstream: UpstreamRecord
     request: ForwardedRequest
-    time_left_ms: float
     deadline: Deadline
 
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
@@ -11,6 +11,7 @@
     Completed,
     NotExecuted,
     NotReached,
+    NotSent,
     PossiblyExecuted,
 )
 from geraniumlead.forwarding.upstream_chooser import UpstreamChooser
@@ -116,11 +117,8 @@
         subrequest.tried.add(upstream.upstream_id)
         subrequest.sent_to.append(upstream.upstream_id)
         self.chooser.record_sent(upstream, now_ms)
-        left_ms = open_request.end_ms - now_ms
         self._actions.append(
-            StartAttempt(
-                attempt.attempt_id, upstream, open_request.request, left_ms, open_request.deadline
-            )
+            StartAttempt(attempt.attempt_id, upstream, open_request.request, open_request.deadline)
         )
 
     def resend(
@@ -173,6 +171,9 @@
     def _update_estimates(self, attempt: Attempt, result: AttemptResult, now_ms: float) -> None:
         estimate = self.chooser.estimate_of(attempt.upstream.upstream_id)
         estimate.in_flight -= 1
+        if isinstance(result, NotSent):
+            # Nothing is learned about an upstream that got nothing.
+            return
         route = attempt.subrequest.request.route
         upstream = attempt.upstream
         match result:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/results.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/results.py
@@ -36,6 +36,11 @@
     """Whether the connection attempt got no response; a running machine would refuse at once."""
 
 
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """The request's end came before it could be written, so nothing was sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class PossiblyExecuted:
     """The request was sent, but no complete answer came back, so it may have been executed."""
@@ -45,4 +50,4 @@
     """Whether the connection was lost, so that the upstream may have crashed."""
 
 
-AttemptResult = Completed | NotExecuted | NotReached | PossiblyExecuted
+AttemptResult = Completed | NotExecuted | NotReached | NotSent | PossiblyExecuted
--- a/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
@@ -8,6 +8,7 @@
     Completed,
     NotExecuted,
     NotReached,
+    NotSent,
     PossiblyExecuted,
 )
 from geraniumlead.forwarding.waiting_subrequests import WaitingSubrequests
@@ -170,6 +171,9 @@
                 # Nothing arrived there, so neither the upstream limit nor the budget counts it.
                 subrequest.sent_to.remove(upstream_id)
                 reason = f"not reached: {detail}"
+            case NotSent():
+                subrequest.sent_to.remove(upstream_id)
+                reason = TOO_LATE
             case PossiblyExecuted(detail=detail, is_connection_lost=is_lost):
                 subrequest.may_have_run = True
                 if is_lost and not open_request.answered:
