--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_attempt_client.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_attempt_client.py
@@ -1,6 +1,7 @@
 """Tests of attempts over loopback connections, with and without faults."""
 
 import asyncio
+import socket
 import time
 from unittest import IsolatedAsyncioTestCase
 
@@ -23,6 +24,38 @@
 MAX_WAIT_S = 5.0
 
 
+class SlowReceiver:
+    """A server that accepts one connection and reads nothing until it is told to."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener.setblocking(False)
+        host, port = self._listener.getsockname()
+        self.address = f"{host}:{port}"
+        self._connection: socket.socket | None = None
+
+    async def wait_until_full(self) -> None:
+        """Accept the connection and wait until the kernel's buffers are full."""
+        self._connection, _ = await asyncio.get_running_loop().sock_accept(self._listener)
+        await asyncio.sleep(0.2)
+
+    async def receive_all(self) -> int:
+        """Read to the end of the connection or its reset; return how many bytes came."""
+        loop, count = asyncio.get_running_loop(), 0
+        try:
+            while data := await loop.sock_recv(self._connection, 65_536):
+                count += len(data)
+        except ConnectionResetError:
+            pass
+        return count
+
+    def close(self) -> None:
+        """Close the sockets."""
+        self._listener.close()
+        if self._connection is not None:
+            self._connection.close()
+
+
 class AttemptClientTests(IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.upstream = await StubUpstream("i-1").start()
@@ -43,6 +76,7 @@
         upstream_id: str = "i-1",
         address: str = "",
         left_ms: float = 900.0,
+        body: bytes = b"body",
     ) -> int:
         self.number += 1
         request = ForwardedRequest(
@@ -53,7 +87,7 @@
             path="/pages/a%2Fb",
             target="/pages/a%2Fb?x=%20",
             headers=(("host", "search.example"), ("request-id", f"r{self.number}")),
-            body=b"body" if method == "POST" else b"",
+            body=body if method == "POST" else b"",
             arrived_ms=0.0,
             wait_ms=1_000.0,
         )
@@ -155,6 +189,21 @@
         result = await self.run_attempt(address=f"127.0.0.1:{find_free_port()}")
         self.assertIsInstance(result, NotReached)
 
+    async def test_bytes_of_a_cancelled_attempt_are_not_delivered_later(self):
+        """Guards against a request that a cut holds up and that arrives after its caller has left.
+
+        The upstream's side takes no more bytes when the attempt is cancelled, and all that is
+        offered afterwards. The rest of the request must not follow.
+        """
+        slow = SlowReceiver()
+        self.addCleanup(slow.close)
+        body = bytes(8_000_000)
+        number = self.start(method="POST", address=slow.address, body=body)
+        await slow.wait_until_full()
+        self.client.cancel(number)
+        await asyncio.sleep(0.05)
+        self.assertLess(await slow.receive_all(), len(body))
+
     async def test_a_cancelled_attempt_closes_its_connection(self):
         self.upstream.fault = UpstreamFault.HANG
         number = self.start()
