Count the time in which a machine is suspended against its requests

A machine that is suspended for seconds stands still on the monotonic clock: its open requests had as much time after it as before, attempts were handed it, and its view of the store looked as fresh as before. The platform's pages say such suspensions happen.

The event loop now reads CLOCK_BOOTTIME, which goes on in a suspension, so every end, age and timer of the process counts it, and the clocks that peers compare do, too.

--- a/packages/geraniumlead-server/src/geraniumlead_server/main.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/main.py
@@ -1,7 +1,6 @@
 """Run one entry instance: the command ``geraniumleadd``."""
 
 import argparse
-import asyncio
 import sys
 from pathlib import Path
 
@@ -66,9 +65,10 @@
     if arguments.check:
         return 0
     from geraniumlead_server.daemon import Daemon
+    from geraniumlead_server.event_loop import run
 
     configure_logging(settings)
-    asyncio.run(Daemon.from_settings(settings).run())
+    run(Daemon.from_settings(settings).run())
     return 0
 
 
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_main.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_main.py
@@ -65,13 +65,12 @@
     # enables the collector again.
     gc.disable()
 
-    import asyncio
-
+    from geraniumlead_server.event_loop import run
     from geraniumlead_server.logs import QueuedOutput, configure_logging
     from geraniumlead_server.platform_daemon import PlatformDaemon
 
     configure_logging(settings, QueuedOutput(sys.stdout.fileno()))
-    asyncio.run(PlatformDaemon(settings, arguments.settings, listener).run())
+    run(PlatformDaemon(settings, arguments.settings, listener).run())
     return 0
 
 
