--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -215,10 +215,8 @@
     def _handle_relayed(self, sender_id: str, updates: StoreUpdates) -> None:
         if self._follower is None:
             return
-        peer = self._driver.forwarder.store_watch.peer(sender_id)
-        delay_ms = 0.0
-        if peer is not None and updates.sent_ms is not None:
-            delay_ms = peer.extra_delay_ms(updates.sent_ms, self._driver.now_ms())
+        store_watch = self._driver.forwarder.store_watch
+        delay_ms = store_watch.relay_delay_ms(sender_id, updates.sent_ms, self._driver.now_ms())
         self._follower.handle_relayed(updates, sender_id, delay_ms)
 
     async def _stop(self, servers: list[WebServer], tasks: list[asyncio.Task]) -> None:
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -2,6 +2,7 @@
 from heapq import nlargest
 from random import Random
 
+from geraniumlead.peering.clock_offset import ClockOffset
 from geraniumlead.peering.contact_selector import ContactSelector
 from geraniumlead.peering.heartbeat_rings import PEERS_PER_HEARTBEAT, HeartbeatRings
 from geraniumlead.peering.highest_count import HighestCount
@@ -132,7 +133,7 @@
         if peer is not None:
             peer.silent_since_ms = None
             if sent_ms is not None:
-                peer.record_clock(sent_ms, now_ms)
+                peer.clock_offset.record(sent_ms, now_ms)
 
     def add_contact(self, contact: PeerContact, now_ms: float) -> None:
         """Add a peer that sends a request before its first hello."""
@@ -202,8 +203,8 @@
             is_restart = peer.incarnation != 0
             peer.incarnation = hello.incarnation
             peer.started_ms = now_ms if is_restart else now_ms - hello.running_ms
-            peer.clock_offset_ms = float("inf")
-        peer.record_clock(hello.sent_ms, now_ms)
+            peer.clock_offset = ClockOffset()
+        peer.clock_offset.record(hello.sent_ms, now_ms)
         peer.version = hello.version
         peer.is_ready = hello.is_ready
         peer.latest_clock_ms = hello.sent_ms
--- a/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
@@ -1,6 +1,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from geraniumlead.peering.clock_offset import UNKNOWN_MS, ClockOffset
 from geraniumlead.peering.messages import PeerContact
 
 DELAY_SAMPLES = 8
@@ -24,9 +25,8 @@
     peer has received. ``silent_since_ms`` is when the peer failed to respond in time; None once
     it has responded or echoed a later hello. ``count`` is how many instances the peer
     knows. ``started_ms`` is when its current process started, or, after a restart, when its first
-    hello came. ``latest_clock_ms`` is the peer's clock in its latest hello. ``clock_offset_ms``
-    is the least by which this clock was ahead of the peer's when a hello of its current process
-    came: the difference of the clocks plus the one-way delay. ``assumed_delay_ms`` is the delay
+    hello came. ``latest_clock_ms`` is the peer's clock in its latest hello. ``clock_offset``
+    compares the clocks by the messages of its current process. ``assumed_delay_ms`` is the delay
     to other peers of its data centre.
 
     Failure: a peer restarts, and the hellos to it wait while it loads. In a mean, one such sample
@@ -48,7 +48,7 @@
     asks_names: bool = False
     is_ready: bool = False
     latest_clock_ms: float | None = None
-    clock_offset_ms: float = float("inf")
+    clock_offset: ClockOffset = field(default_factory=ClockOffset)
     assumed_delay_ms: float | None = None
     delay_samples_ms: deque[float] = field(default_factory=lambda: deque(maxlen=DELAY_SAMPLES))
     open_delegations: int = 0
@@ -77,24 +77,17 @@
         """Return the time within which the peer acknowledges a request."""
         return 2.0 * self.estimated_delay_ms + ACKNOWLEDGEMENT_SLACK_MS
 
-    def record_clock(self, sent_ms: float, now_ms: float) -> None:
-        """Update the clock offset from one hello."""
-        self.clock_offset_ms = min(self.clock_offset_ms, now_ms - sent_ms)
-
     def to_peer_clock_ms(self, own_ms: float) -> float | None:
         """Return a time of this clock on the peer's clock; None before any message of the peer.
 
         It is early by the shortest delay of the peer's messages, and never late.
         """
-        if self.clock_offset_ms == float("inf"):
-            return None
-        return own_ms - self.clock_offset_ms
+        offset_ms = self.clock_offset.least_ms
+        return None if offset_ms == UNKNOWN_MS else own_ms - offset_ms
 
     def extra_delay_ms(self, sent_ms: float, now_ms: float) -> float:
-        """Return how much longer a message took than the quickest hello; 0 before any hello."""
-        if self.clock_offset_ms == float("inf"):
-            return 0.0
-        return max(0.0, now_ms - sent_ms - self.clock_offset_ms)
+        """Return how much longer a message took than the quickest; 0 before any message."""
+        return max(0.0, now_ms - sent_ms - self.clock_offset.least_ms)
 
     def record_delay(self, delay_ms: float) -> None:
         """Record the one-way delay of one hello."""
--- a/packages/geraniumlead/src/geraniumlead/peering/store_watch.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/store_watch.py
@@ -63,6 +63,18 @@
         near = [peer for peer in reachable if peer.contact.data_centre == self._data_centre]
         return random.choice(near or reachable) if reachable else None
 
+    def relay_delay_ms(self, instance_id: str, sent_ms: float | None, now_ms: float) -> float:
+        """Return how much longer than usual a peer's relayed updates took; 0 for its first.
+
+        Failure: in a large fleet a watcher is known by gossip only, and no hello of it has come.
+        Updates that waited in a cut seemed fresh, so a view that was seconds old was acted upon.
+        """
+        peer = self.peer(instance_id)
+        if peer is None or sent_ms is None:
+            return 0.0
+        peer.clock_offset.record(sent_ms, now_ms)
+        return peer.extra_delay_ms(sent_ms, now_ms)
+
     def peer(self, instance_id: str) -> KnownPeer | None:
         """Return a known peer by its name."""
         return self._directory.peers.get(instance_id)
--- a/packages/geraniumlead/tests/core_tests/peering/test_directory.py
+++ b/packages/geraniumlead/tests/core_tests/peering/test_directory.py
@@ -155,8 +155,8 @@
         """Guards against late updates of a slow peer that are taken for recent ones."""
         peer = KnownPeer(PeerContact("entry-2", "10.0.0.2:1", "noord-a"))
         self.assertEqual(0.0, peer.extra_delay_ms(sent_ms=0.0, now_ms=9_000.0))
-        peer.record_clock(sent_ms=100.0, now_ms=7_120.0)
-        peer.record_clock(sent_ms=1_100.0, now_ms=8_600.0)
+        peer.clock_offset.record(sent_ms=100.0, now_ms=7_120.0)
+        peer.clock_offset.record(sent_ms=1_100.0, now_ms=8_600.0)
         self.assertEqual(2_000.0, peer.extra_delay_ms(sent_ms=2_000.0, now_ms=11_020.0))
 
     def test_clock_offset_is_reset_when_a_peer_restarts(self):
@@ -164,7 +164,7 @@
         fleet = SimulatedFleet(2, seeds=(0,))
         fleet.run_until(3_000.0)
         fleet.members[1] = fleet.build(1, incarnation=99)
-        fleet.members[0].peers["entry-1"].clock_offset_ms = -50_000.0
+        fleet.members[0].peers["entry-1"].clock_offset.record(sent_ms=53_000.0, now_ms=3_000.0)
         fleet.run_until(6_000.0)
         self.assertEqual(0.0, fleet.members[0].peers["entry-1"].extra_delay_ms(6_000.0, 6_000.0))
 
--- a/packages/geraniumlead/tests/core_tests/peering/test_store_watch.py
+++ b/packages/geraniumlead/tests/core_tests/peering/test_store_watch.py
@@ -6,6 +6,7 @@
 
 from core_tests.peering.test_directory import SimulatedFleet
 from geraniumlead.peering import StoreWatch
+from geraniumlead.peering.clock_offset import ClockOffset
 from geraniumlead.peering.store_watch import MIN_GROUP_SIZE, WATCHERS_PER_GROUP
 
 DATA_CENTRES = ("noord-a", "midden-a", "zuid-a")
@@ -29,6 +30,14 @@
         ]
         return fleet, watches
 
+    def test_updates_that_waited_are_noticed_without_any_hello(self):
+        """Guards against late updates of a watcher known by gossip that are taken for fresh."""
+        fleet, watches = self.build(2)
+        fleet.members[0].peers["entry-1"].clock_offset = ClockOffset()
+        self.assertEqual(0.0, watches[0].relay_delay_ms("entry-1", 100.0, 7_120.0))
+        self.assertEqual(0.0, watches[0].relay_delay_ms("entry-1", 1_100.0, 8_119.0))
+        self.assertEqual(2_001.0, watches[0].relay_delay_ms("entry-1", 2_100.0, 11_120.0))
+
     def test_small_data_centres_of_a_region_share_two_watchers(self):
         """Guards against data centres of three instances that all call the store each 3 seconds.
 
