Keep the end of a call at the query interface's upstreams, too

The same class of fault as at the platform's upstreams, found by looking for it: a call that waits until one of its upstream's connections is free, or for a busy event loop, was written with the time of its decision, and a cancelled call's bytes were delivered after a cut.

The time is computed where the headers are written, a call without time is not written, and both clients share a connection that is reset while its answer is due.

test_a_call_that_waits_for_a_connection_gets_what_is_left failed before: 600 ms handed of 300 that were left at most.

--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/connections.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/connections.py
@@ -1,15 +1,13 @@
 """Pooled connections on which every answer belongs to its request."""
 
 import asyncio
-import socket
-import struct
 from contextvars import ContextVar
 
 from aiohttp import ClientPayloadError, ClientRequest, TCPConnector
-from aiohttp.client_proto import ResponseHandler
 
 from geraniumlead.forwarding import StartAttempt
 from geraniumlead_server.platform import set_time_left
+from geraniumlead_server.resetting_connection import ResettingConnection
 
 IDLE_S = 30.0
 """Time after which an idle connection is closed if the upstream specifies no keep-alive time."""
@@ -19,11 +17,7 @@
 seconds. A request that is sent while the upstream closes the connection may or may not have run."""
 
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Linux's ``struct linger``: on, for 0 s."""
-
-
-class AttemptConnection(ResponseHandler):
+class AttemptConnection(ResettingConnection):
     """A connection that drops answers to other requests.
 
     Failure: an upstream sends a second, late answer to an old request on a kept-alive connection,
@@ -35,14 +29,13 @@
         super().__init__(loop)
         self._id_header = id_header
         self._expected_id: str | None = None
-        self._is_answered = True
         self._answered_s = loop.time()
         self._idle_s = IDLE_S
 
     def expect(self, request_id: str | None) -> None:
         """Accept only answers with this request id, or without one, from now on."""
         self._expected_id = request_id
-        self._is_answered = False
+        self.begin_request()
 
     def feed_data(self, data, size: int = 0) -> None:
         """Queue an answer, unless it belongs to another request."""
@@ -51,26 +44,10 @@
         if found_id is not None and found_id != self._expected_id:
             self.force_close()
             return
-        self._is_answered = True
         self._answered_s = self._loop.time()
         self._idle_s = _read_idle_s(message.headers.get("Keep-Alive"))
         super().feed_data(data, size)
 
-    def close(self) -> None:
-        """Close the connection; reset it if its request has not been answered.
-
-        Failure: the network to an upstream is cut. The caller leaves, and the connection is
-        closed. The kernel goes on to send what the upstream has not acknowledged, so when the cut
-        ends the request arrives, with the time that was left when it was written. A reset discards
-        those bytes.
-        """
-        if self._is_answered or not self.is_connected():
-            super().close()
-            return
-        connection = self.transport.get_extra_info("socket")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.abort()
-
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer without a length whose connection is reset.
 
--- /dev/null
+++ b/packages/geraniumlead-server/src/geraniumlead_server/resetting_connection.py
@@ -0,0 +1,39 @@
+import asyncio
+import socket
+import struct
+
+from aiohttp.client_proto import ResponseHandler
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Linux's ``struct linger``: on, for 0 s."""
+
+
+class ResettingConnection(ResponseHandler):
+    """A client's connection that is reset if it is closed before its request is answered.
+
+    Failure: the network to an upstream is cut. The caller leaves, and the connection is closed. The
+    kernel goes on to send what the upstream has not acknowledged, so when the cut ends the request
+    arrives, with the time that was left when it was written. A reset discards those bytes.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._is_answered = True
+
+    def begin_request(self) -> None:
+        """Record that a request is about to be written."""
+        self._is_answered = False
+
+    def feed_data(self, data, size: int = 0) -> None:
+        """Record and queue the head of an answer."""
+        self._is_answered = True
+        super().feed_data(data, size)
+
+    def close(self) -> None:
+        """Close the connection, or reset it while an answer is due."""
+        if self._is_answered or not self.is_connected():
+            super().close()
+            return
+        connection = self.transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.abort()
--- a/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/client.py
@@ -12,6 +12,7 @@
 from geraniumlead.upstreams import ConnectionLost, NotReached, TimedOut, UpstreamAnswer
 from geraniumlead_server.upstream_client.running_call import RunningCall
 from geraniumlead_server.upstream_client.target import UpstreamTarget
+from geraniumlead_server.upstream_client.timed_request import CALL_END_S, CallOverError
 from geraniumlead_server.upstream_client.wire import encode_subquery, read_answer
 
 
@@ -36,8 +37,9 @@
             wait_ms = min(wait_ms, action.overdue_ms)
         # For each request a timer of the loop costs a tenth of aiohttp's own timeout.
         timer = self._loop.call_later(wait_ms / 1000.0, self._check_call, action.call_id)
-        task = self._loop.create_task(self._run(action))
-        self._calls[action.call_id] = RunningCall(action, task, self._loop.time(), timer)
+        started_s = self._loop.time()
+        task = self._loop.create_task(self._run(action, started_s))
+        self._calls[action.call_id] = RunningCall(action, task, started_s, timer)
 
     def cancel(self, call_id: str) -> None:
         """End a call without a report; closing its connection informs the upstream."""
@@ -55,8 +57,8 @@
         for target in self._targets.values():
             await target.session.close()
 
-    async def _run(self, action: CallUpstream) -> None:
-        answer = await self._exchange(action)
+    async def _run(self, action: CallUpstream, started_s: float) -> None:
+        answer = await self._exchange(action, started_s)
         call = self._calls.pop(action.call_id, None)
         if call is not None:
             call.timer.cancel()
@@ -86,18 +88,20 @@
         is_silent = is_silent and remaining_s > 0.001
         self._report(UpstreamAnswered(call_id, TimedOut(silent_connection=is_silent)))
 
-    async def _exchange(self, action: CallUpstream) -> UpstreamAnswer:
+    async def _exchange(self, action: CallUpstream, started_s: float) -> UpstreamAnswer:
         target = self._target_for(action)
         headers = {
             "X-Request-Id": action.subquery.request_id,
-            "X-Remaining-Ms": f"{action.timeout_ms:.0f}",
         }
+        CALL_END_S.set(started_s + action.timeout_ms / 1000.0)
         body = encode_subquery(action.subquery)
         try:
             async with target.session.post(target.url, data=body, headers=headers) as response:
                 body = await response.read()
                 target.last_answer_s = self._loop.time()
                 return read_answer(response.status, body)
+        except CallOverError:
+            return NotReached("no time left")
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             return NotReached(str(error))
         except (ClientError, OSError) as error:
--- a/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/monitored_connector.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/monitored_connector.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable
 
 from aiohttp import TCPConnector
-from aiohttp.client_proto import ResponseHandler
 
+from geraniumlead_server.resetting_connection import ResettingConnection
 
-class MonitoredHandler(ResponseHandler):
+
+class MonitoredHandler(ResettingConnection):
     """A connection that reports its end when the upstream caused it."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, owner: "MonitoredConnector") -> None:
--- a/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/target.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/target.py
@@ -5,6 +5,7 @@
 from yarl import URL
 
 from geraniumlead_server.upstream_client.monitored_connector import MonitoredConnector
+from geraniumlead_server.upstream_client.timed_request import TimedRequest
 
 SUBQUERIES_PATH = "/v1/subqueries"
 IDLE_TIMEOUT_S = 60.0
@@ -35,6 +36,7 @@
         )
         session = ClientSession(
             connector=connector,
+            request_class=TimedRequest,
             auto_decompress=False,
             cookie_jar=DummyCookieJar(),
             headers=HEADERS,
--- a/packages/geraniumlead-server/tests/server_tests/upstream_client/test_client.py
+++ b/packages/geraniumlead-server/tests/server_tests/upstream_client/test_client.py
@@ -12,6 +12,8 @@
 from server_tests.ports import find_free_port
 
 MAX_WAIT_S = 5.0
+REMAINING_MS = web.AppKey("remaining_ms", list)
+"""The times that the calls which were answered were handed."""
 
 
 def build_action(call_id: str, address: str, query: bytes = b"{}", **changes) -> CallUpstream:
@@ -21,8 +23,12 @@
 
 
 async def answer(request: web.Request) -> web.Response:
-    if b"silent" in await request.read():
+    body = await request.read()
+    if b"silent" in body:
         await asyncio.sleep(MAX_WAIT_S)
+    if b"slow" in body:
+        await asyncio.sleep(0.3)
+    request.app[REMAINING_MS].append(float(request.headers["X-Remaining-Ms"]))
     return web.json_response({"index_version": 1, "shard": 0, "records": []})
 
 
@@ -30,6 +36,7 @@
     async def asyncSetUp(self):
         app = web.Application()
         app.router.add_post("/v1/subqueries", answer)
+        self.remaining_ms = app[REMAINING_MS] = []
         self.runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self.runner.setup()
         self.address = f"127.0.0.1:{find_free_port()}"
@@ -64,6 +71,19 @@
         await self.wait_for_events(1)
         self.assertEqual([UpstreamAnswered("c1", TimedOut())], self.events)
 
+    async def test_a_call_that_waits_for_a_connection_gets_what_is_left(self):
+        """Guards against an upstream that works on after its caller has left.
+
+        The upstream's only connection is taken for 300 ms, and the time was fixed before.
+        """
+        options = {"connections": 1, "overdue_ms": None}
+        self.client.call(build_action("c1", self.address, b'"slow"', **options))
+        self.client.call(build_action("c2", self.address, timeout_ms=600.0, **options))
+        self.client.call(build_action("c3", self.address, timeout_ms=200.0, **options))
+        await self.wait_for_events(3)
+        self.assertEqual(2, len(self.remaining_ms))
+        self.assertLessEqual(self.remaining_ms[1], 300.0)
+
     async def test_upstream_that_closes_an_idle_connection_is_reported(self):
         """An upstream restarts while it is idle.
 
