Compare the time that upstreams need once for a query, not once for each shard

A query over 1,200 shards looked up the fastest latency of its route 1,200 times before it was sent. The longest round trip that still fits is computed once; what is refused stays the same (test_time_left). Also two readings of a number as a truth value, of the kind that took no time for no limit, are written out; neither could be 0.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
@@ -83,14 +83,18 @@
     def is_in_time(
         self, open_request: OpenRequest, upstream: UpstreamRecord, now_ms: float
     ) -> bool:
-        """Return whether an upstream may answer before the end of a request.
+        """Return whether an upstream may answer before the end of a request."""
+        rtt_ms = self.relative_rtts.relative_rtt_ms(upstream.data_centre)
+        return rtt_ms <= self.max_relative_rtt_ms(open_request, now_ms)
+
+    def max_relative_rtt_ms(self, open_request: OpenRequest, now_ms: float) -> float:
+        """Return up to which relative RTT an upstream may answer before the end of a request.
 
         Failure: a caller retries with a few milliseconds left. A whole index is queried, every
         upstream works on it, and no answer can reach the caller.
         """
         fastest_ms = self.lateness.fastest_latency_ms(open_request.route, now_ms)
-        fastest_ms += self.relative_rtts.relative_rtt_ms(upstream.data_centre)
-        return open_request.deadline.left_ms(now_ms) >= fastest_ms
+        return open_request.deadline.left_ms(now_ms) - fastest_ms
 
     def could_wait(self, subrequest: Subrequest, now_ms: float) -> bool:
         """Return whether a subrequest only lacks a free call slot at an upstream."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/deadline.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/deadline.py
@@ -18,7 +18,7 @@
     def __init__(self, end_ms: float, caller_end_ms: float) -> None:
         self.end_ms = end_ms
         self.caller_end_ms = caller_end_ms
-        self.max_handed_ms: float | None = None
+        self.max_handed_ms = 0.0
         self.max_overrun_ms = 0.0
         self.overruns = 0
 
@@ -43,7 +43,7 @@
 
     def record_handed(self, handed_ms: float, now_ms: float) -> None:
         """Record that an attempt which is written now was handed a time to answer."""
-        self.max_handed_ms = max(handed_ms, self.max_handed_ms or 0.0)
+        self.max_handed_ms = max(self.max_handed_ms, handed_ms)
         overrun_ms = now_ms + handed_ms - self.caller_end_ms
         if overrun_ms > 0.0:
             self.overruns += 1
--- a/packages/geraniumlead/src/geraniumlead/forwarding/lateness_estimator.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/lateness_estimator.py
@@ -67,7 +67,9 @@
     def median_latency_ms(self, route: Route, now_ms: float) -> float:
         """Return the median latency of the route's attempts, without the relative RTT."""
         found_ms = self._detector.delay_ms(route.name, 0.5, now_ms)
-        return found_ms or UNKNOWN_MEDIAN_GOAL_SHARE * route.latency_goal_ms
+        if found_ms is None:
+            return UNKNOWN_MEDIAN_GOAL_SHARE * route.latency_goal_ms
+        return found_ms
 
     def fastest_latency_ms(self, route: Route, now_ms: float) -> float:
         """Return the latency, without the relative RTT, below which hardly any attempt succeeds."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_log.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_log.py
@@ -52,7 +52,7 @@
     }
     if request.is_delegated:
         fields["is_delegated"] = True
-    if deadline.max_handed_ms is not None:
+    if deadline.max_handed_ms:
         fields["handed_ms"] = round(deadline.max_handed_ms, 1)
     if deadline.overruns:
         fields["overruns"] = deadline.overruns
--- a/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
@@ -49,12 +49,14 @@
         One whose upstream can't answer before the end of the request fails, too.
         """
         chosen: list[tuple[Subrequest, UpstreamRecord]] = []
+        relative_rtts = self._tracker.relative_rtts
+        max_relative_rtt_ms = self._tracker.max_relative_rtt_ms(open_request, now_ms)
         for subrequest in open_request.subrequests:
             upstream = None
             if not self._waiting.has(subrequest.service):
                 upstream = self._tracker.choose(subrequest, now_ms)
             if upstream is not None:
-                if self._tracker.is_in_time(open_request, upstream, now_ms):
+                if relative_rtts.relative_rtt_ms(upstream.data_centre) <= max_relative_rtt_ms:
                     chosen.append((subrequest, upstream))
                 else:
                     open_request.settle_failed(subrequest, TOO_LATE, now_ms)
