Judge the first request between two instances by the time of day

In a fleet of hundreds two instances often have had no message of each other when the first delegated request goes between them, so its sender does not know the receiver's clock and the request is counted from when it is read.

Such a request carries its sender's time of day.

test_a_first_request_between_two_instances_is_judged_by_the_time_of_day failed before for 1.5 and 3 s (four attempts each).

--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -5,6 +5,7 @@
 import logging
 import signal
 import socket
+from dataclasses import replace
 from pathlib import Path
 from random import Random, SystemRandom
 
@@ -37,6 +38,7 @@
 from geraniumlead_server.platform_main import load_platform_settings
 from geraniumlead_server.store_callbacks import StoreCallbacks
 from geraniumlead_server.store_follower import StoreFollower
+from geraniumlead_server.time_of_day import measure_way_ms, stamp_message
 from geraniumlead_server.web_server import WebServer
 
 MAX_CALLER_CONNECTIONS = 2_000
@@ -210,7 +212,8 @@
             case StateRequest(beyond_revision=beyond_revision):
                 self._send_state(sender_id, beyond_revision)
             case _:
-                self._driver.handle(PeerMessageReceived(sender_id, message))
+                way_ms = measure_way_ms(message)
+                self._driver.handle(PeerMessageReceived(sender_id, message, way_ms))
 
     def _handle_relayed(self, sender_id: str, updates: StoreUpdates) -> None:
         if self._follower is None:
@@ -268,5 +271,5 @@
                 self._attempts.start(action)
             case CancelAttempt(attempt_id=attempt_id):
                 self._attempts.cancel(attempt_id)
-            case OutgoingPeerMessage():
-                self._peers.send(action)
+            case OutgoingPeerMessage(message=message):
+                self._peers.send(replace(action, message=stamp_message(message)))
--- a/packages/geraniumlead/src/geraniumlead/forwarding/events.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/events.py
@@ -55,10 +55,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerMessageReceived:
-    """A message of another instance was received."""
+    """A message of another instance was received.
+
+    ``way_ms`` is how long ago it left by the time of day, where the message tells; the times of
+    day of two machines may differ.
+    """
 
     sender_id: str
     message: PeeringMessage
+    way_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
@@ -99,8 +99,8 @@
                 self.published.handle_updates(event, now_ms)
             case StoreLost(detail=detail):
                 self.published.record_store_lost(detail, now_ms)
-            case PeerMessageReceived(sender_id=sender_id, message=message):
-                self._peers.handle(sender_id, message, now_ms, self.is_ready)
+            case PeerMessageReceived():
+                self._peers.handle(event, now_ms, self.is_ready)
             case ReplyWritten(took_ms=took_ms):
                 self._runner.processing_delay.record_write(took_ms, now_ms)
             case TimePassed():
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
@@ -1,5 +1,6 @@
 from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, PeerReply
 from geraniumlead.forwarding.delegation_tracker import Lateness, find_delegated_route
+from geraniumlead.forwarding.events import PeerMessageReceived
 from geraniumlead.forwarding.published_state import PublishedState
 from geraniumlead.forwarding.request_runner import RequestRunner
 from geraniumlead.peering import (
@@ -24,6 +25,10 @@
 MAX_LOGGED_PEERS = 20
 """Maximum number of live peers named in a log entry; it always has their count."""
 
+MAX_TIME_OF_DAY_DIFFERENCE_MS = 250.0
+"""By how much the times of day of two instances may differ. They are compared only at the first
+request between two instances, and one that is declined wrongly tells its sender the right clock."""
+
 MIN_TIME_LEFT_MS = 2.0
 """Least time left with which a delegated request is served; hardly any upstream is faster."""
 
@@ -54,10 +59,9 @@
         self._count_due_ms = float("-inf")
         self.directory = directory
 
-    def handle(
-        self, sender_id: str, message: PeeringMessage, now_ms: float, is_ready: bool
-    ) -> None:
+    def handle(self, event: PeerMessageReceived, now_ms: float, is_ready: bool) -> None:
         """Handle one message of a peer."""
+        sender_id, message = event.sender_id, event.message
         match message:
             case Hello():
                 for peer in self.directory.handle_hello(message, now_ms):
@@ -68,7 +72,8 @@
             case Goodbye():
                 self.directory.handle_goodbye(sender_id, message)
             case DelegatedRequest():
-                self._serve_delegated(sender_id, message, now_ms, is_ready)
+                waited_ms = _waited_ms(message, event.way_ms, now_ms)
+                self._serve_delegated(sender_id, message, waited_ms, now_ms, is_ready)
             case DelegationAcknowledged(number=number, sent_ms=sent_ms):
                 self.directory.record_response(sender_id, sent_ms, now_ms)
                 self._runner.delegated.tracker.record_acknowledgement(number, now_ms)
@@ -129,7 +134,12 @@
         return action
 
     def _serve_delegated(
-        self, sender_id: str, message: DelegatedRequest, now_ms: float, is_ready: bool
+        self,
+        sender_id: str,
+        message: DelegatedRequest,
+        waited_ms: float,
+        now_ms: float,
+        is_ready: bool,
     ) -> None:
         if message.sender is not None:
             self.directory.add_contact(message.sender, now_ms)
@@ -138,7 +148,6 @@
         if route is None or configuration is None or not is_ready:
             self._decline(sender_id, message, now_ms)
             return
-        waited_ms = _waited_ms(message, now_ms)
         if message.time_left_ms - waited_ms < MIN_TIME_LEFT_MS:
             self._decline_late(sender_id, message, waited_ms, now_ms)
             return
@@ -210,8 +219,10 @@
         return 0 if configuration is None else configuration.version
 
 
-def _waited_ms(message: DelegatedRequest, now_ms: float) -> float:
-    """Return how much later than expected a request came; 0 if its sender can't tell."""
-    if message.end_ms is None:
-        return 0.0
-    return max(0.0, message.time_left_ms - (message.end_ms - now_ms))
+def _waited_ms(message: DelegatedRequest, way_ms: float | None, now_ms: float) -> float:
+    """Return how much later than expected a request came; 0 if neither clock can tell."""
+    if message.end_ms is not None:
+        return max(0.0, message.time_left_ms - (message.end_ms - now_ms))
+    if way_ms is not None:
+        return max(0.0, way_ms - MAX_TIME_OF_DAY_DIFFERENCE_MS)
+    return 0.0
--- a/packages/geraniumlead/src/geraniumlead/peering/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -63,7 +63,7 @@
     The peer has to send its reply ``goal_left_ms`` after the message came, with the answers that
     it has by then. ``sender`` is where the reply goes, for a peer that has just started and does
     not know the sender. ``end_ms`` is when the request ends, on the receiver's clock;
-    None while the sender doesn't know that clock.
+    None while the sender doesn't know that clock, and then ``sent_unix_ms`` is its time of day.
     """
 
     number: int
@@ -81,6 +81,7 @@
     goal_left_ms: float
     sender: PeerContact | None = None
     end_ms: float | None = None
+    sent_unix_ms: float | None = None
 
 
 class DelegationAcknowledged(Struct, frozen=True, array_like=True, tag="taken"):
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_time_left.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_time_left.py
@@ -11,9 +11,10 @@
     build_updates,
 )
 from core_tests.forwarding.harness import ForwarderHarness
-from core_tests.forwarding.instance_pair import NEAR, InstancePair
+from core_tests.forwarding.instance_pair import FAR, NEAR, InstancePair
 from geraniumlead.forwarding import NotSent, PeerMessageReceived, PossiblyExecuted
 from geraniumlead.peering import DelegatedReply, DelegatedRequest, DelegationCancelled
+from geraniumlead.peering.clock_offset import ClockOffset
 
 HOPELESS_MS = (0.0, 7.0, 15.0)
 
@@ -136,6 +137,33 @@
         (reply,) = self.pair.find_messages(self.far, DelegatedReply)
         self.assertTrue(reply.message.is_declined)
 
+    def test_a_first_request_between_two_instances_is_judged_by_the_time_of_day(self):
+        """Guards against the first message between two instances, whose clocks are not compared.
+
+        In a fleet of hundreds two in five requests are such first ones in its first seconds.
+        """
+        for way_ms, attempts in ((30.0, 4), (200.0, 4), (-2_000.0, 4), (1_500.0, 0), (3_000.0, 0)):
+            with self.subTest(way_ms=way_ms):
+                self.setUp()
+                self.near.forwarder._peers.directory.peers[FAR].clock_offset = ClockOffset()
+                self.near.ask(wait_ms=1_000.0)
+                (outgoing,) = self.pair.find_messages(self.near, DelegatedRequest)
+                self.assertIsNone(outgoing.message.end_ms)
+                self.far.handle(PeerMessageReceived(NEAR, outgoing.message, way_ms))
+                self.assertEqual(attempts, len(self.far.started))
+
+    def test_a_declined_first_request_tells_the_clock(self):
+        """The times of day differ by seconds, and the next request is judged by the clocks."""
+        self.near.forwarder._peers.directory.peers[FAR].clock_offset = ClockOffset()
+        self.near.ask(wait_ms=1_000.0)
+        (outgoing,) = self.pair.find_messages(self.near, DelegatedRequest)
+        self.far.handle(PeerMessageReceived(NEAR, outgoing.message, way_ms=4_000.0))
+        self.pair.deliver()
+        self.near.run_until(self.near.now_ms + 1_100.0)
+        self.near.ask(2, wait_ms=1_000.0)
+        (outgoing,) = self.pair.find_messages(self.near, DelegatedRequest)
+        self.assertIsNotNone(outgoing.message.end_ms)
+
     def test_a_peer_is_not_asked_for_what_it_cannot_answer_in_time(self):
         """Guards against a delegated request whose time is over when it arrives.
 
