Count what subqueries and forwarded tickets waited between two instances

In virtual time a batch that was held up for 1.5 s led to a call that could end 1,505 ms after its caller had left, and 3 s to one that could end 3,005 ms after.

Batches of subqueries and forwarded requests carry when they left on the receiver's clock, which heartbeats and batches of results tell their sender; the receiver takes off what they waited beyond 50 ms, and sheds a subquery that is over. The comparison of clocks moved to a package of its own, which both forms use.

--- a/packages/geraniumlead/src/geraniumlead/peering/clock_offset.py
+++ b/packages/geraniumlead/src/geraniumlead/clocks/clock_offset.py
@@ -28,6 +28,13 @@
         """Return the least difference of this window and the one before."""
         return min(self._current_ms, self._previous_ms)
 
+    def to_other_clock_ms(self, own_ms: float) -> float | None:
+        """Return a time of this clock on the peer's clock; None before any message of the peer.
+
+        It is early by the shortest delay of the peer's messages, and never late.
+        """
+        return None if self.least_ms == UNKNOWN_MS else own_ms - self.least_ms
+
     def record(self, sent_ms: float, now_ms: float) -> None:
         """Record a message that was sent at a time of the peer's clock and came now."""
         offset_ms = now_ms - sent_ms
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegation_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegation_tracker.py
@@ -146,7 +146,7 @@
             time_left_ms=time_left_ms,
             goal_left_ms=goal_left_ms,
             sender=self._own_contact,
-            end_ms=peer.to_peer_clock_ms(open_request.end_ms),
+            end_ms=peer.clock_offset.to_other_clock_ms(open_request.end_ms),
         )
         return OutgoingPeerMessage(peer.contact.instance_id, peer.contact.address, message)
 
--- a/packages/geraniumlead/src/geraniumlead/instance/call_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/call_handler.py
@@ -1,9 +1,12 @@
+from msgspec.structs import replace
+
 from geraniumlead.actions import AnswerCaller, CallUpstream, CancelCall
 from geraniumlead.cold_start import WarmthPhase
 from geraniumlead.coordination import CancelSubquery, CoordinationStep, EndQuery, SendSubquery
 from geraniumlead.dispatch import DispatchStep, EndCall, NotifyOwners, StartCall, StopCall
 from geraniumlead.events import UpstreamAnswered
 from geraniumlead.instance.held_steps import HeldSteps
+from geraniumlead.instance.message_times import find_wait_ms
 from geraniumlead.instance.parts import InstanceParts
 from geraniumlead.peer_messages import (
     Goodbye,
@@ -15,7 +18,7 @@
 )
 from geraniumlead.requests import CallerRequest, Outcome
 from geraniumlead.routing import SubqueryRoute
-from geraniumlead.upstreams import Draining, Shed
+from geraniumlead.upstreams import Draining, Shed, Subquery
 
 STALE_OWNER_RETRY_AFTER_MS = 50.0
 
@@ -52,7 +55,13 @@
         if self._parts.lifecycle.is_stopping:
             # Peers in other data centres are notified of the shutdown only when they send work.
             self._parts.send(sender_id, Goodbye(self._parts.incarnation))
+        wait_ms = find_wait_ms(batch, now_ms)
         for subquery in batch.subqueries:
+            if wait_ms:
+                subquery = replace(subquery, remaining_ms=subquery.remaining_ms - wait_ms)
+            if subquery.remaining_ms <= 0.0:
+                self._shed(sender_id, subquery, now_ms)
+                continue
             self._peer_calls.add(subquery.call_id)
             steps = self._parts.dispatcher.submit(subquery, sender_id, now_ms)
             self.run_dispatch(steps, now_ms)
@@ -209,8 +218,12 @@
         # their coordinators can use other owners. Shedding them immediately guarantees that
         # they did not run.
         for subquery in batch.subqueries:
-            result = SubqueryResult(subquery.call_id, Shed(STALE_OWNER_RETRY_AFTER_MS))
-            self._parts.batcher.add_result(sender_id, result, now_ms)
+            self._shed(sender_id, subquery, now_ms)
+
+    def _shed(self, sender_id: str, subquery: Subquery, now_ms: float) -> None:
+        """Report that a peer's subquery did not run and will not."""
+        result = SubqueryResult(subquery.call_id, Shed(STALE_OWNER_RETRY_AFTER_MS))
+        self._parts.batcher.add_result(sender_id, result, now_ms)
 
     def _answer_peer(self, sender_id: str, message: TicketedAnswer) -> None:
         # A peer that is no longer listed gets no answer; its caller gets "unknown" at the deadline.
--- a/packages/geraniumlead/src/geraniumlead/instance/heartbeat_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/heartbeat_handler.py
@@ -38,6 +38,7 @@
             platform_age_ms=platform_age_ms,
             digest=parts.store.digest,
             stopping=parts.lifecycle.is_stopping,
+            sent_ms=now_ms,
         )
         targets = dict.fromkeys(parts.membership.next_heartbeat_targets(parts.random))
         targets |= dict.fromkeys(list(reports)[:MAX_INDIVIDUAL_REPORTS])
--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -18,6 +18,7 @@
 from geraniumlead.instance.configuration_handler import ConfigurationHandler
 from geraniumlead.instance.freshness_handler import FreshnessHandler
 from geraniumlead.instance.heartbeat_handler import HeartbeatHandler
+from geraniumlead.instance.message_times import stamp_message
 from geraniumlead.instance.parts import InstanceParts
 from geraniumlead.instance.request_handler import RequestHandler
 from geraniumlead.instance.status import InstanceStatus
@@ -191,6 +192,9 @@
             # An unlisted sender cannot be answered, so its work would be wasted.
             return
         self.parts.membership.record_message(sender_id, now_ms)
+        match message:
+            case Heartbeat(sent_ms=float(sent_ms)) | SubqueryResultBatch(sent_ms=float(sent_ms)):
+                self.parts.membership.record_clock(sender_id, sent_ms, now_ms)
         match message:
             case Heartbeat() | Goodbye():
                 self._configuration.handle_liveness(sender_id, message, now_ms)
@@ -241,7 +245,9 @@
             )
             self._stop.exit_if_done(now_ms)
         for peer_id, message in self.parts.batcher.pop_due(now_ms):
-            if self.parts.send(peer_id, message) and isinstance(message, SubqueryBatch):
+            peer = self.parts.membership.peers.get(peer_id)
+            stamped = stamp_message(message, peer, now_ms)
+            if self.parts.send(peer_id, stamped) and isinstance(message, SubqueryBatch):
                 self.parts.membership.record_sent(peer_id, now_ms)
 
     def _drain_actions(self) -> list[Action]:
--- a/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/request_handler.py
@@ -3,6 +3,7 @@
 from geraniumlead.events import TicketRequested
 from geraniumlead.freshness import HeldRequests
 from geraniumlead.instance.call_handler import CallHandler
+from geraniumlead.instance.message_times import stamp_message
 from geraniumlead.instance.parts import InstanceParts
 from geraniumlead.instance.quarantine_handler import QuarantineHandler
 from geraniumlead.peer_messages import TicketedAnswer, TicketedRequest
@@ -138,7 +139,8 @@
             self._calls.answer(request, NotRun(RefusalReason.TICKET_INVALID, 0.0))
             return
         message, outcome = tickets.forward(request, now_ms)
-        if not self._parts.send(issuer_id, message):
+        issuer = self._parts.membership.peers.get(issuer_id)
+        if not self._parts.send(issuer_id, stamp_message(message, issuer, now_ms)):
             tickets.drop_forwarded(message.call_id)
             self._calls.answer(request, outcome)
 
--- a/packages/geraniumlead/src/geraniumlead/instance/ticket_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/ticket_handler.py
@@ -1,5 +1,6 @@
 from random import Random
 
+from geraniumlead.instance.message_times import find_wait_ms
 from geraniumlead.peer_messages.messages import TicketedAnswer, TicketedRequest
 from geraniumlead.requests.caller_request import CallerRequest
 from geraniumlead.requests.outcome_codec import decode_outcome, encode_outcome
@@ -145,7 +146,7 @@
             class_name=message.class_name,
             query=message.query,
             arrived_ms=now_ms,
-            deadline_ms=now_ms + message.remaining_ms,
+            deadline_ms=now_ms + message.remaining_ms - find_wait_ms(message, now_ms),
             least_coverage=1.0,
             key=message.key,
             ticket=message.ticket,
--- a/packages/geraniumlead/src/geraniumlead/membership/membership.py
+++ b/packages/geraniumlead/src/geraniumlead/membership/membership.py
@@ -110,6 +110,12 @@
             peer.unanswered_since_ms = None
             self._unanswered.pop(sender_id, None)
 
+    def record_clock(self, sender_id: str, sent_ms: float, now_ms: float) -> None:
+        """Record that a peer sent a message at ``sent_ms`` of its clock."""
+        peer = self.peers.get(sender_id)
+        if peer is not None:
+            peer.clock_offset.record(sent_ms, now_ms)
+
     def record_sent(self, instance_id: str, now_ms: float) -> None:
         """Record that work or a probe was sent to a peer, which has to send a message after it."""
         peer = self.peers.get(instance_id)
--- a/packages/geraniumlead/src/geraniumlead/membership/peer.py
+++ b/packages/geraniumlead/src/geraniumlead/membership/peer.py
@@ -1,5 +1,6 @@
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from geraniumlead.clocks import ClockOffset
 from geraniumlead.documents.instance_entry import InstanceEntry
 
 
@@ -19,6 +20,7 @@
     left_incarnation: str | None = None
     revision: int = 0
     ready: bool = True
+    clock_offset: ClockOffset = field(default_factory=ClockOffset)
 
     @property
     def leaving(self) -> bool:
--- a/packages/geraniumlead/src/geraniumlead/peer_messages/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peer_messages/messages.py
@@ -29,7 +29,7 @@
 
     ``platform_age_ms`` is how long ago the platform confirmed ``revision`` as current, and
     ``digest`` is a digest of the documents at that revision. A ``stopping`` sender takes no new
-    work.
+    work. ``sent_ms`` is the sender's clock.
     """
 
     incarnation: str
@@ -41,6 +41,7 @@
     platform_age_ms: float | None = None
     digest: int = 0
     stopping: bool = False
+    sent_ms: float | None = None
 
 
 class Goodbye(Struct, frozen=True, array_like=True, tag="goodbye"):
@@ -86,9 +87,13 @@
 
 
 class SubqueryBatch(Struct, frozen=True, array_like=True, tag="subqueries"):
-    """The subqueries for one owner that were collected in one batching tick."""
+    """The subqueries for one owner that were collected in one batching tick.
+
+    ``left_ms`` is when it left on the receiver's clock; None while the sender doesn't know that.
+    """
 
     subqueries: tuple[Subquery, ...]
+    left_ms: float | None = None
 
 
 class SubqueryResult(Struct, frozen=True, array_like=True):
@@ -99,9 +104,13 @@
 
 
 class SubqueryResultBatch(Struct, frozen=True, array_like=True, tag="results"):
-    """The outcomes for one coordinator that were collected in one batching tick."""
+    """The outcomes for one coordinator that were collected in one batching tick.
+
+    ``sent_ms`` is the sender's clock.
+    """
 
     results: tuple[SubqueryResult, ...]
+    sent_ms: float | None = None
 
 
 class CancelBatch(Struct, frozen=True, array_like=True, tag="cancels"):
@@ -132,7 +141,10 @@
 
 
 class TicketedRequest(Struct, frozen=True, array_like=True, tag="ticketed_request"):
-    """A non-idempotent request, forwarded to the instance that issued its ticket."""
+    """A non-idempotent request, forwarded to the instance that issued its ticket.
+
+    ``left_ms`` is when it left on the receiver's clock; None while the sender doesn't know that.
+    """
 
     call_id: str
     request_id: str
@@ -142,6 +154,7 @@
     key: str | None
     ticket: str
     remaining_ms: float
+    left_ms: float | None = None
 
 
 class TicketedAnswer(Struct, frozen=True, array_like=True, tag="ticketed_answer"):
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -2,7 +2,7 @@
 from heapq import nlargest
 from random import Random
 
-from geraniumlead.peering.clock_offset import ClockOffset
+from geraniumlead.clocks import ClockOffset
 from geraniumlead.peering.contact_selector import ContactSelector
 from geraniumlead.peering.heartbeat_rings import PEERS_PER_HEARTBEAT, HeartbeatRings
 from geraniumlead.peering.highest_count import HighestCount
--- a/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
@@ -1,7 +1,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from geraniumlead.peering.clock_offset import UNKNOWN_MS, ClockOffset
+from geraniumlead.clocks import ClockOffset
 from geraniumlead.peering.messages import PeerContact
 
 DELAY_SAMPLES = 8
@@ -77,14 +77,6 @@
         """Return the time within which the peer acknowledges a request."""
         return 2.0 * self.estimated_delay_ms + ACKNOWLEDGEMENT_SLACK_MS
 
-    def to_peer_clock_ms(self, own_ms: float) -> float | None:
-        """Return a time of this clock on the peer's clock; None before any message of the peer.
-
-        It is early by the shortest delay of the peer's messages, and never late.
-        """
-        offset_ms = self.clock_offset.least_ms
-        return None if offset_ms == UNKNOWN_MS else own_ms - offset_ms
-
     def extra_delay_ms(self, sent_ms: float, now_ms: float) -> float:
         """Return how much longer a message took than the quickest; 0 before any message."""
         return max(0.0, now_ms - sent_ms - self.clock_offset.least_ms)
--- a/packages/geraniumlead/tests/core_tests/peering/test_clock_offset.py
+++ b/packages/geraniumlead/tests/core_tests/clocks/test_clock_offset.py
@@ -2,8 +2,7 @@
 
 from unittest import TestCase
 
-from geraniumlead.peering import KnownPeer, PeerContact
-from geraniumlead.peering.clock_offset import MAX_DELAY_MS, UNKNOWN_MS, WINDOW_MS, ClockOffset
+from geraniumlead.clocks.clock_offset import MAX_DELAY_MS, UNKNOWN_MS, WINDOW_MS, ClockOffset
 
 
 class ClockOffsetTests(TestCase):
@@ -37,9 +36,9 @@
 
         An end on its clock may be early by those 8 ms, but by more only if it is not told better.
         """
-        peer = KnownPeer(PeerContact("entry-2", "10.0.0.2:1", "noord-a"))
-        self.assertIsNone(peer.to_peer_clock_ms(60_000.0))
-        peer.clock_offset.record(sent_ms=1_000.0, now_ms=51_900.0)
-        self.assertEqual(9_100.0, peer.to_peer_clock_ms(60_000.0))
-        peer.clock_offset.record(sent_ms=2_000.0, now_ms=52_008.0)
-        self.assertEqual(9_992.0, peer.to_peer_clock_ms(60_000.0))
+        offset = ClockOffset()
+        self.assertIsNone(offset.to_other_clock_ms(60_000.0))
+        offset.record(sent_ms=1_000.0, now_ms=51_900.0)
+        self.assertEqual(9_100.0, offset.to_other_clock_ms(60_000.0))
+        offset.record(sent_ms=2_000.0, now_ms=52_008.0)
+        self.assertEqual(9_992.0, offset.to_other_clock_ms(60_000.0))
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_time_left.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_time_left.py
@@ -12,9 +12,9 @@
 )
 from core_tests.forwarding.harness import ForwarderHarness
 from core_tests.forwarding.instance_pair import FAR, NEAR, InstancePair
+from geraniumlead.clocks import ClockOffset
 from geraniumlead.forwarding import NotSent, PeerMessageReceived, PossiblyExecuted
 from geraniumlead.peering import DelegatedReply, DelegatedRequest, DelegationCancelled
-from geraniumlead.peering.clock_offset import ClockOffset
 
 HOPELESS_MS = (0.0, 7.0, 15.0)
 
--- a/packages/geraniumlead/tests/core_tests/peering/test_store_watch.py
+++ b/packages/geraniumlead/tests/core_tests/peering/test_store_watch.py
@@ -5,8 +5,8 @@
 from unittest import TestCase
 
 from core_tests.peering.test_directory import SimulatedFleet
+from geraniumlead.clocks import ClockOffset
 from geraniumlead.peering import StoreWatch
-from geraniumlead.peering.clock_offset import ClockOffset
 from geraniumlead.peering.store_watch import MIN_GROUP_SIZE, WATCHERS_PER_GROUP
 
 DATA_CENTRES = ("noord-a", "midden-a", "zuid-a")
