Log and count strikes of requests, who told whom, and what a refusal knew

Operators could not tell a request that crashes upstreams on and on from upstreams that crash on their own: only refusals had a line. Each lost upstream has one now, with the fingerprint that all repeats share, and so has each notice that is sent or heard; a refusal says what it knew and from whom. losses counts tries that were sent more than four seconds after the third strike, trace joins the repeats of a request, and a counter and a gauge have the same. The logic is as it was. Lines are bounded by the log's budget, names in a line by five.

--- a/packages/geraniumlead-client/src/geraniumlead_client/commands/losses.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/commands/losses.py
@@ -91,6 +91,7 @@
         "instances": _by_name(report.instances),
         "second_sendings": report.second_sendings,
         "times": report.times,
+        "crashes": report.crashes.count(),
         "not_logged": report.not_logged,
     }
 
@@ -114,6 +115,12 @@
         f"attempts that were handed more time than their callers waited: {times.overruns}, "
         f"at most {times.longest_overrun_ms:.0f} ms more"
     )
+    crashes = report.crashes.count()
+    print(
+        f"requests under which upstreams were lost: {crashes.requests}, upstreams lost: "
+        f"{crashes.strikes}, at most {crashes.worst_strikes} under one ({crashes.worst}); refused: "
+        f"{crashes.refused}, sent too late: {crashes.sent_too_late}"
+    )
     print(f"lines that instances left out of their logs: {report.not_logged}")
 
 
--- a/packages/geraniumlead-client/src/geraniumlead_client/loss_report.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/loss_report.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from geraniumlead_client.crash_report import CrashReport
 from geraniumlead_client.log_lines import LogLine, SkippedLine
 
 HTTP_OK = 200
@@ -92,6 +93,7 @@
     total: LossRow = field(default_factory=lambda: LossRow("all"))
     second_sendings: HedgeCounts = field(default_factory=HedgeCounts)
     times: TimeCounts = field(default_factory=TimeCounts)
+    crashes: CrashReport = field(default_factory=CrashReport)
     not_logged: int = 0
     skipped: list[SkippedLine] = field(default_factory=list)
 
@@ -103,6 +105,7 @@
                     self.skipped.append(line)
                 case LogLine():
                     self.not_logged += _as_int(line.fields.get("skipped_lines"))
+                    self.crashes.add(line)
                     if line.event == "request":
                         self._add_request(line)
 
--- a/packages/geraniumlead-client/src/geraniumlead_client/request_trace.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/request_trace.py
@@ -25,9 +25,25 @@
     "overrun_ms",
     "retry_after_ms",
     "missing",
+    "fingerprint",
+    "strikes",
+    "struck_before_ms",
+    "told_by",
 )
 OBSERVATION_FIELDS = ("ready", "cause", "in_data_centre")
-OTHER_EVENT_FIELDS = ("peer", "path", "fingerprint")
+OTHER_EVENT_FIELDS = (
+    "peer",
+    "peers",
+    "path",
+    "fingerprint",
+    "service",
+    "upstream",
+    "cause",
+    "strikes",
+    "strikes_before",
+)
+CRASH_EVENTS = frozenset({"crash_strike", "crash_told", "crash_notice"})
+"""Events of all repeats of a request, which are joined by its fingerprint."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,11 +65,12 @@
     instance that logged it, and only if it was logged no later than the request there.
     """
 
-    __slots__ = ("_lines", "_observations", "_request_id", "skipped")
+    __slots__ = ("_crash_lines", "_lines", "_observations", "_request_id", "skipped")
 
     def __init__(self, request_id: str) -> None:
         self._request_id = request_id
         self._lines: list[LogLine] = []
+        self._crash_lines: list[LogLine] = []
         self._observations: dict[tuple[str, str], list[LogLine]] = {}
         self.skipped: list[SkippedLine] = []
 
@@ -65,6 +82,8 @@
                     self.skipped.append(line)
                 case LogLine() if line.fields.get("request_id") == self._request_id:
                     self._lines.append(line)
+                case LogLine() if line.event in CRASH_EVENTS:
+                    self._crash_lines.append(line)
                 case LogLine() if line.event in OBSERVATION_EVENTS:
                     key = (line.instance, str(line.fields.get("upstream")))
                     self._observations.setdefault(key, []).append(line)
@@ -77,10 +96,17 @@
     def steps(self) -> list[TraceStep]:
         """Return all steps in chronological order."""
         found: list[TraceStep] = []
-        for line in self._lines:
+        for line in self._lines + self._crash_lines_of_repeats():
             found += self._build_steps(line)
         return sorted(found, key=lambda step: step.time)
 
+    def _crash_lines_of_repeats(self) -> list[LogLine]:
+        """Return what instances knew and told of the upstreams lost under the same request."""
+        fingerprints = {line.fields.get("fingerprint") for line in self._lines} - {None}
+        return [
+            line for line in self._crash_lines if line.fields.get("fingerprint") in fingerprints
+        ]
+
     def _build_steps(self, line: LogLine) -> list[TraceStep]:
         fields = line.fields
         if line.event != "request":
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
@@ -14,6 +14,9 @@
 
 OTHER_ROUTES = "other"
 
+CRASH_EVENTS = frozenset({"crash_strike", "crash_told", "crash_notice"})
+CRASHES_UPSTREAMS = "crashes_upstreams"
+
 
 class ForwardingMetrics:
     """Counts requests by route and status, and records their latencies by route."""
@@ -43,6 +46,10 @@
             "geraniumlead_deadline_overruns",
             description="attempts that were handed more time than their caller waits",
         )
+        self._crashes = meter.create_counter(
+            "geraniumlead_crash_events",
+            description="upstreams lost under a request, notices of them, and refusals for them",
+        )
         self._missing = meter.create_counter("geraniumlead_missing_shards")
         self._view_changes = meter.create_counter("geraniumlead_view_changes")
         for name, read in (
@@ -50,6 +57,7 @@
             ("geraniumlead_ready", lambda: int(forwarder.is_ready)),
             ("geraniumlead_config_version", self._read_version),
             ("geraniumlead_view_age_ms", self._read_view_age_ms),
+            ("geraniumlead_crash_suspects", lambda: forwarder.crash_suspects),
             ("geraniumlead_store_lost", lambda: int(forwarder.published.is_store_lost)),
         ):
             meter.create_observable_gauge(name, callbacks=[_build_gauge_callback(read)])
@@ -57,6 +65,9 @@
     def observe(self, decision: LogDecision) -> None:
         """Record one decision."""
         fields = decision.fields
+        if decision.name in CRASH_EVENTS:
+            self._crashes.add(1, {"event": decision.name})
+            return
         if decision.name != "request":
             self._view_changes.add(1, {"change": decision.name})
             return
@@ -70,6 +81,8 @@
             self._wait.record(fields["waited_ms"], {"source": source})
         if fields.get("overruns"):
             self._overruns.add(fields["overruns"], labels)
+        if fields.get("reason") == CRASHES_UPSTREAMS:
+            self._crashes.add(1, {"event": "refused"})
         if fields.get("extra"):
             self._extra.add(fields["extra"], labels)
         if fields.get("missing"):
--- a/packages/geraniumlead-server/tests/server_tests/forwarding_telemetry/test_metrics.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding_telemetry/test_metrics.py
@@ -44,3 +44,18 @@
         self.assertEqual({"caller": 3.0, "peer": 1_500.0}, waits)
         (overruns,) = self.read("geraniumlead_deadline_overruns")
         self.assertEqual((7, "pages"), (overruns.value, overruns.attributes["route"]))
+
+    def test_strikes_notices_and_refusals_are_counted_by_event(self):
+        """Guards against a request that crashes upstreams on and on, unseen by operators."""
+        self.metrics.observe(LogDecision("crash_strike", {"strikes": 1}, "warning"))
+        self.metrics.observe(LogDecision("crash_notice", {"strikes": 2}))
+        refusal = {"status": 503, "reason": "crashes_upstreams", "route": "pages"}
+        self.metrics.observe(LogDecision("request", refusal, "warning"))
+        events = {
+            point.attributes["event"]: point.value
+            for point in self.read("geraniumlead_crash_events")
+        }
+        self.assertEqual({"crash_strike": 1, "crash_notice": 1, "refused": 1}, events)
+        self.assertEqual([], self.read("geraniumlead_view_changes"))
+        (suspects,) = self.read("geraniumlead_crash_suspects")
+        self.assertEqual(0, suspects.value)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/crash_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/crash_tracker.py
@@ -16,10 +16,15 @@
 
 @dataclass(slots=True)
 class CrashRecord:
-    """The upstreams that were lost while they ran a request, and when its refusal ends."""
+    """The upstreams that were lost while they ran a request, and when its refusal ends.
+
+    ``told_by`` is the peer that told of the last strike; None for one that was seen here.
+    """
 
     upstream_ids: set[str] = field(default_factory=set)
     refused_until_ms: float = 0.0
+    struck_ms: float = 0.0
+    told_by: str | None = None
 
 
 class CrashTracker:
@@ -59,9 +64,20 @@
         if record is not None:
             self._unsent[fingerprint] = tuple(sorted(record.upstream_ids))
 
-    def handle_notice(self, fingerprint: int, upstream_ids: tuple[str, ...], now_ms: float) -> None:
+    def handle_notice(
+        self,
+        fingerprint: int,
+        upstream_ids: tuple[str, ...],
+        now_ms: float,
+        sender_id: str | None = None,
+    ) -> None:
         """Add the strikes that a peer recorded."""
         self._add_strikes(fingerprint, upstream_ids, now_ms)
+        self._records[fingerprint].told_by = sender_id
+
+    def find(self, fingerprint: int) -> CrashRecord | None:
+        """Return what is known of a request; None if it has no strikes."""
+        return self._records.get(fingerprint)
 
     def is_refused(self, fingerprint: int, now_ms: float) -> bool:
         """Return whether a request has to be refused; a refusal starts its time anew."""
@@ -84,6 +100,7 @@
         record = self._records.setdefault(fingerprint, CrashRecord())
         record.upstream_ids.update(upstream_ids)
         record.refused_until_ms = now_ms + QUARANTINE_MS
+        record.struck_ms, record.told_by = now_ms, None
         self._records.move_to_end(fingerprint)
         if len(self._records) > MAX_REQUESTS:
             self._records.popitem(last=False)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
@@ -76,6 +76,11 @@
         """Return the number of open requests of callers and peers."""
         return len(self._runner)
 
+    @property
+    def crash_suspects(self) -> int:
+        """Return the number of requests under which upstreams were lost."""
+        return len(self._runner.crashes)
+
     def live_peers(self, now_ms: float) -> list[str]:
         """Return the instances of which a message was received recently."""
         return [peer.contact.instance_id for peer in self._peers.directory.live(now_ms)]
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
@@ -1,4 +1,5 @@
 from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, PeerReply
+from geraniumlead.forwarding.crash_log import describe_notice, describe_told
 from geraniumlead.forwarding.delegation_tracker import Lateness, find_delegated_route
 from geraniumlead.forwarding.events import PeerMessageReceived
 from geraniumlead.forwarding.published_state import PublishedState
@@ -83,7 +84,7 @@
                 if delegation is not None:
                     self._runner.handle_delegated_reply(delegation, message, now_ms)
             case CrashNotice(fingerprint=fingerprint, upstream_ids=upstream_ids):
-                self._runner.crashes.handle_notice(fingerprint, upstream_ids, now_ms)
+                self._handle_crash_notice(sender_id, fingerprint, upstream_ids, now_ms)
             case DelegationCancelled() | DelegationHedged():
                 self._handle_delegation_change(sender_id, message, now_ms)
 
@@ -106,11 +107,15 @@
                 self._runner.hedge_delegated(delegation, now_ms)
         for fingerprint, upstream_ids in self._runner.crashes.drain_unsent().items():
             notice = CrashNotice(fingerprint, upstream_ids)
-            for peer in self.directory.live(now_ms)[:MAX_NOTIFIED_PEERS]:
-                contact = peer.contact
-                self._actions.append(
-                    OutgoingPeerMessage(contact.instance_id, contact.address, notice)
-                )
+            contacts = [
+                peer.contact for peer in self.directory.live(now_ms)[:MAX_NOTIFIED_PEERS]
+            ]
+            self._actions += [
+                OutgoingPeerMessage(contact.instance_id, contact.address, notice)
+                for contact in contacts
+            ]
+            peer_ids = [contact.instance_id for contact in contacts]
+            self._actions.append(describe_told(fingerprint, len(upstream_ids), peer_ids))
         if now_ms >= self._count_due_ms:
             self._count_due_ms = now_ms + COUNT_INTERVAL_MS
             self._count_instances(now_ms)
@@ -193,6 +198,16 @@
                 if key is not None:
                     self._runner.mark_hedged(key)
 
+    def _handle_crash_notice(
+        self, sender_id: str, fingerprint: int, upstream_ids: tuple[str, ...], now_ms: float
+    ) -> None:
+        crashes = self._runner.crashes
+        known = crashes.find(fingerprint)
+        before = 0 if known is None else len(known.upstream_ids)
+        crashes.handle_notice(fingerprint, upstream_ids, now_ms, sender_id)
+        after = len(crashes.find(fingerprint).upstream_ids)
+        self._actions.append(describe_notice(fingerprint, sender_id, before, after))
+
     def _count_instances(self, now_ms: float) -> None:
         count = self.directory.instance_count(now_ms)
         live_ids = [peer.contact.instance_id for peer in self.directory.live(now_ms)]
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -62,7 +62,7 @@
         self._upstream_view = upstream_view
         self._tracker = AttemptTracker(settings, upstream_view, random, actions)
         self.crashes = CrashTracker()
-        self._sender = SubrequestSender(self._tracker, self.crashes)
+        self._sender = SubrequestSender(self._tracker, self.crashes, actions)
         planner = DelegationPlanner(settings, upstream_view, directory, random)
         self.delegated = DelegatedSubrequests(planner, self._sender, actions, directory.own_contact)
         self._open: dict[int, OpenRequest] = {}
@@ -102,7 +102,8 @@
     ) -> None:
         """Send a request to one upstream of each of its services, or refuse it."""
         if not request.is_delegated and self._is_crashing(request, now_ms):
-            self._actions += refuse_crashing(request, route)
+            record = self.crashes.find(request.fingerprint)
+            self._actions += refuse_crashing(request, route, record, now_ms)
             return
         services = self._services.of_request(request, route)
         margin_ms = self.processing_delay.margin_ms(route.latency_goal_ms, len(services), now_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
@@ -1,6 +1,8 @@
 from collections.abc import Sequence
 
+from geraniumlead.forwarding.actions import ForwardingAction
 from geraniumlead.forwarding.attempt_tracker import AttemptTracker
+from geraniumlead.forwarding.crash_log import describe_strike
 from geraniumlead.forwarding.crash_tracker import CrashTracker
 from geraniumlead.forwarding.open_request import Attempt, OpenRequest, Subrequest
 from geraniumlead.forwarding.results import (
@@ -34,9 +36,12 @@
     reach an upstream.
     """
 
-    __slots__ = ("_crashes", "_tracker", "_waiting")
+    __slots__ = ("_actions", "_crashes", "_tracker", "_waiting")
 
-    def __init__(self, tracker: AttemptTracker, crashes: CrashTracker) -> None:
+    def __init__(
+        self, tracker: AttemptTracker, crashes: CrashTracker, actions: list[ForwardingAction]
+    ) -> None:
+        self._actions = actions
         self._tracker = tracker
         self._crashes = crashes
         self._waiting = WaitingSubrequests()
@@ -181,6 +186,8 @@
                 if is_lost and not open_request.answered:
                     fingerprint = open_request.request.fingerprint
                     self._crashes.record_lost(fingerprint, upstream_id, now_ms)
+                    record = self._crashes.find(fingerprint)
+                    self._actions.append(describe_strike(attempt, record, detail))
                 reason = f"lost: {detail}"
         open_request.record_step(subrequest, upstream_id, reason, now_ms)
         self._retry_or_fail(subrequest, result, reason, now_ms)
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_crash_tracker.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_crash_tracker.py
@@ -76,6 +76,19 @@
         self.harness.handle(PeerMessageReceived("entry-2", notice))
         self.assertEqual([], self.harness.ask(2))
 
+    def test_a_refusal_tells_what_was_known(self):
+        fingerprint = self.harness.ask(1)[0].request.fingerprint
+        self.crash(2)
+        notice = CrashNotice(fingerprint, ("reader-1", "reader-2", "reader-3"))
+        self.harness.handle(PeerMessageReceived("entry-2", notice))
+        self.harness.run_until(500.0)
+        self.harness.ask(3)
+        lines = {line.name: line.fields for line in self.harness.logged}
+        self.assertEqual(2, lines["crash_strike"]["strikes"])
+        self.assertEqual("entry-2", lines["crash_notice"]["peer"])
+        refusal = lines["request"]
+        self.assertEqual(("entry-2", 500), (refusal["told_by"], refusal["struck_before_ms"]))
+
     def test_one_more_attempt_is_allowed_after_the_quarantine(self):
         for key in range(1, 4):
             self.crash(key)
