--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
@@ -107,9 +107,7 @@
                 self._runner.hedge_delegated(delegation, now_ms)
         for fingerprint, upstream_ids in self._runner.crashes.drain_unsent().items():
             notice = CrashNotice(fingerprint, upstream_ids)
-            contacts = [
-                peer.contact for peer in self.directory.live(now_ms)[:MAX_NOTIFIED_PEERS]
-            ]
+            contacts = [peer.contact for peer in self.directory.live(now_ms)[:MAX_NOTIFIED_PEERS]]
             self._actions += [
                 OutgoingPeerMessage(contact.instance_id, contact.address, notice)
                 for contact in contacts
--- a/packages/geraniumlead/tests/core_tests/forwarding/fleet_harness.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/fleet_harness.py
@@ -5,7 +5,12 @@
 
 from core_tests.forwarding.builders import build_answer, build_settings
 from core_tests.forwarding.harness import ForwarderHarness
-from geraniumlead.forwarding import PeerMessageReceived, PublishedUpdates, StartAttempt
+from geraniumlead.forwarding import (
+    ForwardingSettings,
+    PeerMessageReceived,
+    PublishedUpdates,
+    StartAttempt,
+)
 from geraniumlead.peering import PeeringMessage, decode_peering, encode_peering
 from geraniumlead.peering.outgoing_peer_message import OutgoingPeerMessage
 
@@ -28,18 +33,19 @@
     def __init__(self, data_centres: Sequence[str], **settings) -> None:
         self.members: dict[str, ForwarderHarness] = {}
         self._names: dict[str, str] = {}
+        self._settings: dict[str, ForwardingSettings] = {}
+        self.now_ms = 0.0
         for number, data_centre in enumerate(data_centres):
             address = address_of(number)
             self._names[address] = f"entry-{number + 1}"
-            found = build_settings(
+            self._settings[address] = build_settings(
                 self._names[address],
                 address=address,
                 data_centre=data_centre,
                 seeds=(SEED_ADDRESS,),
                 **settings,
             )
-            self.members[address] = ForwarderHarness(found, seed=number + 1)
-        self.now_ms = 0.0
+            self.members[address] = ForwarderHarness(self._settings[address], seed=number + 1)
         self.silent: set[str] = set()
         self.slow_ms: dict[str, float] = {}
         self._delayed: list[tuple[float, str, str, PeeringMessage]] = []
@@ -48,6 +54,12 @@
         for member in self.members.values():
             member.handle(updates)
 
+    def restart(self, address: str, seed: int) -> ForwarderHarness:
+        """Replace an instance by a new process, which knows nothing."""
+        member = ForwarderHarness(self._settings[address], seed, self.now_ms)
+        self.members[address] = member
+        return member
+
     def run_until(self, until_ms: float) -> None:
         while self.now_ms < until_ms:
             self.now_ms = min(until_ms, self.now_ms + STEP_MS)
--- a/packages/geraniumlead/tests/core_tests/forwarding/harness.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/harness.py
@@ -22,8 +22,10 @@
 class ForwarderHarness:
     """A forwarder whose actions are recorded by type."""
 
-    def __init__(self, settings: ForwardingSettings | None = None, seed: int = 1) -> None:
-        self.now_ms = 0.0
+    def __init__(
+        self, settings: ForwardingSettings | None = None, seed: int = 1, now_ms: float = 0.0
+    ) -> None:
+        self.now_ms = now_ms
         self.forwarder = Forwarder(settings or build_settings(), Random(seed), self.now_ms)
         self.started: list[StartAttempt] = []
         self.cancelled: list[int] = []
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_time_left.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_time_left.py
@@ -176,6 +176,49 @@
                 self.pair.deliver()
                 self.assertEqual([], [ms for ms in self.far.handed_ms() if ms > wait_ms])
 
+    def publish_timeout(self, timeout_ms: float, *instances: ForwarderHarness) -> None:
+        """Publish a version in which the route has another timeout to some instances."""
+        route = build_fan_out(shard_count=5, timeout_ms=timeout_ms)
+        updates = build_updates(build_configuration(route, version=2), is_snapshot=False)
+        for harness in instances:
+            harness.handle(updates)
+
+    def test_a_late_try_beside_a_new_timeout_is_not_given_the_timeout(self):
+        """Guards against a late try that gets its route's whole timeout at a peer.
+
+        A caller's last try has 25 ms left, a part of its query is at a peer, and the timeout of
+        the route was changed shortly before, at both instances or at one of them.
+        """
+        for wait_ms in (9.0, 25.0, 45.0):
+            for knowing in ("both", "near", "far"):
+                with self.subTest(wait_ms=wait_ms, knowing=knowing):
+                    self.setUp()
+                    instances = {"near": [self.near], "far": [self.far]}
+                    known = instances.get(knowing, [self.near, self.far])
+                    self.publish_timeout(567.0, *known)
+                    self.pair.advance(50.0)
+                    self.near.ask(1, wait_ms=wait_ms)
+                    for _ in range(20):
+                        self.pair.deliver()
+                        handed_ms = self.near.handed_ms() + self.far.handed_ms()
+                        self.assertEqual([], [ms for ms in handed_ms if ms > wait_ms])
+                        self.pair.advance(5.0)
+
+    def test_a_part_that_comes_back_from_a_peer_gets_what_is_left(self):
+        """Guards against a declined or silent peer's part that is begun anew with a whole wait."""
+        for is_declined in (True, False):
+            with self.subTest(is_declined=is_declined):
+                self.setUp()
+                self.near.ask(1, wait_ms=300.0)
+                (outgoing,) = self.pair.find_messages(self.near, DelegatedRequest)
+                self.pair.advance(200.0)
+                if is_declined:
+                    reply = DelegatedReply(outgoing.message.number, is_declined=True)
+                    self.near.handle(PeerMessageReceived(FAR, reply))
+                self.pair.advance(20.0)
+                self.assertGreater(len(self.near.started), 1)
+                self.assertEqual([], [ms for ms in self.near.handed_ms() if ms > 100.0])
+
     def test_work_at_a_peer_ends_with_the_request_if_its_cancellation_is_lost(self):
         self.near.ask(wait_ms=1_000.0)
         self.pair.deliver()
