Connect anew to a peer that has just restarted

A process that was down for some seconds waited up to two more for the first reply of its peers: ZeroMQ backs off to 2 s between its tries to connect, and the reply waited on the old connection. In a run of two daemons the new process was ready and had got its first request before a peer's first message came, 0.27 s after its start (seen in its log). A hello tells for how long its sender runs, so a connection that is older is closed, and the reply opens a new one. Nothing that waits on the old one was for the new process.

--- a/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/dealer_pool.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/dealer_pool.py
@@ -14,6 +14,9 @@
 MIN_REOPEN_AGE_S = 2.0
 """Minimum age of a connection that is closed because it accepts no message."""
 
+RESTART_WINDOW_S = 4.0
+"""Time after a peer's start in which a connection to its previous process may still be waiting."""
+
 IDLE_CHECK_INTERVAL_S = 10.0
 
 
@@ -71,6 +74,18 @@
             dealer.socket.close(linger=0)
             del self._dealers[instance_id]
 
+    def renew_after_restart(self, instance_id: str, running_s: float, now_s: float) -> None:
+        """Close a connection to the previous process of a peer that has been running so long.
+
+        Failure: a peer was down for some seconds, and ZeroMQ tries to connect again only after two
+        more. It has just started and waits for the replies to its first messages.
+        """
+        dealer = self._dealers.get(instance_id)
+        is_restart = running_s < RESTART_WINDOW_S
+        if is_restart and dealer is not None and dealer.opened_s < now_s - running_s:
+            dealer.socket.close(linger=0)
+            del self._dealers[instance_id]
+
     def _close_idle(self, now_s: float) -> None:
         if now_s - self._checked_s < IDLE_CHECK_INTERVAL_S:
             return
--- a/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
@@ -103,6 +103,10 @@
             self._dealers.record_blocked(outgoing.instance_id, self._loop.time())
             logger.debug("peer_message_dropped", extra={"fields": {"peer": outgoing.instance_id}})
 
+    def renew_after_restart(self, instance_id: str, running_s: float) -> None:
+        """Open a new connection to a peer that has just restarted, with the next message to it."""
+        self._dealers.renew_after_restart(instance_id, running_s, self._loop.time())
+
     def _encode(self, message: Any) -> bytes:
         """Return the encoded message; the last one is cached, since several peers get the same.
 
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -17,6 +17,7 @@
     StartAttempt,
 )
 from geraniumlead.peering import (
+    Hello,
     PeeringMessage,
     StateRequest,
     StoreUpdates,
@@ -212,6 +213,8 @@
             case StateRequest(beyond_revision=beyond_revision):
                 self._send_state(sender_id, beyond_revision)
             case _:
+                if isinstance(message, Hello):
+                    self._peers.renew_after_restart(sender_id, message.running_ms / 1000.0)
                 way_ms = measure_way_ms(message)
                 self._driver.handle(PeerMessageReceived(sender_id, message, way_ms))
 
