Let a fleet know which requests crash upstreams, whoever gets the next try

What callers saw: upstreams of their shards were gone for seconds, again and again, since one request that ends each upstream that runs it was sent on and on. Harmless requests beside it were refused as the crashing one.

Cause: each instance had its own count of strikes and told what it had once, at a request's end, to at most forty peers that it believed alive. Who came later, was cut off, or was the forty-first knew nothing; a part of a query at a peer was neither checked nor counted; ids of upstreams that come back, silent upstreams and answers elsewhere were not seen. The class is a notice that is sent once, to some, and not acknowledged, in place of a state that converges.

News is broadcast by gossip at once; a hello has a digest of what its sender refuses, and whoever refuses others tells it; a new process is ready when a peer has told it, or after half a second. Each send is checked: first, again, hedged, delegated, waiting. Three lost processes make a request suspected: one try and one shard at a time. Of two different moments, they make it refused, for two minutes, then one more try of one instance, then four times as long. Crashes with another cause don't count: those before an answer, those of one outage, those of a refused request, those beside an unproven request if this one is proven, those of an upstream that was silent before it got the request.

An upstream's expiry returns its record, not its id.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/actions.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/actions.py
@@ -5,7 +5,7 @@
 from geraniumlead.forwarding.deadline import Deadline
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.replies import Reply
-from geraniumlead.peering import DelegatedReply, DelegationAcknowledged
+from geraniumlead.peering import CrashReports, DelegatedReply, DelegationAcknowledged
 from geraniumlead.peering.outgoing_peer_message import OutgoingPeerMessage
 from geraniumlead.published_upstreams import UpstreamRecord
 
@@ -41,10 +41,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerReply:
-    """Send a peer the acknowledgement or the results of a request that it delegated."""
+    """Send a peer the acknowledgement or the results of a request that it delegated, or the
+    crashes that it caused."""
 
     sender_id: str
-    message: DelegatedReply | DelegationAcknowledged
+    message: DelegatedReply | DelegationAcknowledged | CrashReports
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
@@ -1,5 +1,6 @@
 from random import Random
 
+from geraniumlead.crashes import UnansweredAttempts, hash_process
 from geraniumlead.forwarding.actions import CancelAttempt, ForwardingAction, StartAttempt
 from geraniumlead.forwarding.extra_attempt_budgets import ExtraAttemptBudgets
 from geraniumlead.forwarding.isolation_detector import IsolationDetector
@@ -35,6 +36,7 @@
         "isolation",
         "lateness",
         "relative_rtts",
+        "unanswered",
     )
 
     def __init__(
@@ -47,6 +49,7 @@
         self._actions = actions
         self._attempts: dict[int, Attempt] = {}
         self._next_id = 0
+        self.unanswered = UnansweredAttempts()
         self.budgets = ExtraAttemptBudgets(settings)
         self.lateness = LatenessEstimator()
         self.isolation = IsolationDetector()
@@ -152,6 +155,7 @@
             estimate = self.chooser.estimate_of(attempt.upstream.upstream_id)
             estimate.in_flight -= 1
             elapsed_ms = now_ms - attempt.sent_ms - attempt.relative_rtt_ms
+            self._record_unanswered(attempt, now_ms)
             route = subrequest.request.route
             median_latency_ms = self.lateness.median_latency_ms(route, now_ms)
             estimate.record_lower_bound(elapsed_ms / median_latency_ms, now_ms)
@@ -161,6 +165,22 @@
                 self.lateness.record(route, elapsed_ms, now_ms)
         subrequest.open_attempts.clear()
 
+    def open_at(self, process: int) -> list[Attempt]:
+        """Return the open attempts at one process of an upstream."""
+        return [
+            attempt
+            for attempt in self._attempts.values()
+            if process_of(attempt.upstream) == process
+        ]
+
+    def _record_unanswered(self, attempt: Attempt, now_ms: float) -> None:
+        """Keep an attempt of a request without any answer, in case its upstream has ended."""
+        open_request = attempt.subrequest.request
+        if not open_request.answered:
+            fingerprint = open_request.request.fingerprint
+            process = process_of(attempt.upstream)
+            self.unanswered.add(process, fingerprint, attempt.sent_ms, now_ms)
+
     def cancel_all(self, open_request: OpenRequest, now_ms: float) -> None:
         """Cancel the open attempts of a request."""
         for subrequest in open_request.subrequests:
@@ -199,3 +219,8 @@
                 estimate.record_refused(now_ms)
             case Completed() | NotExecuted() | PossiblyExecuted():
                 estimate.record_failure(now_ms)
+
+
+def process_of(upstream: UpstreamRecord) -> int:
+    """Return the number of an upstream's present process."""
+    return hash_process(upstream.upstream_id, upstream.started_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/crash_log.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/crash_log.py
@@ -1,46 +1,57 @@
 """The log lines that tell which requests crash upstreams, and who knew of it when."""
 
+from geraniumlead.crashes import CrashRecord
 from geraniumlead.forwarding.actions import LogDecision
-from geraniumlead.forwarding.crash_tracker import CrashRecord
-from geraniumlead.forwarding.open_request import Attempt
+from geraniumlead.forwarding.forwarded_request import ForwardedRequest
+from geraniumlead.peering import CrashReport
+from geraniumlead.published_upstreams import UpstreamRecord
 
-MAX_LOGGED_UPSTREAMS = 5
-"""Maximum number of crashed upstreams, and of notified peers, named in a log line."""
+MAX_LOGGED_PEERS = 5
+"""Maximum number of peers named in a log line."""
 
 
-def describe_strike(attempt: Attempt, record: CrashRecord, cause: str) -> LogDecision:
+def describe_strike(
+    request: ForwardedRequest, upstream: UpstreamRecord, record: CrashRecord, cause: str
+) -> LogDecision:
     """Return the line of one upstream that was lost while it ran a request."""
-    request = attempt.subrequest.request.request
     fields = {
         "request_id": request.request_id,
-        "fingerprint": format_fingerprint(request.fingerprint),
-        "service": attempt.subrequest.service,
-        "upstream": attempt.upstream.upstream_id,
-        "cause": cause,
-        "strikes": len(record.upstream_ids),
         "is_delegated": request.is_delegated,
+        **describe_loss(request.fingerprint, upstream, record, cause),
     }
     return LogDecision("crash_strike", fields, "warning")
 
 
-def describe_told(fingerprint: int, strikes: int, peer_ids: list[str]) -> LogDecision:
-    """Return the line of a notice that is sent to peers."""
-    fields = {
+def describe_loss(
+    fingerprint: int, upstream: UpstreamRecord, record: CrashRecord, cause: str
+) -> dict:
+    """Return the fields of an upstream that was lost while it ran a request."""
+    return {
         "fingerprint": format_fingerprint(fingerprint),
-        "strikes": strikes,
-        "peers": len(peer_ids),
-        "first_peers": peer_ids[:MAX_LOGGED_UPSTREAMS],
+        "service": upstream.service,
+        "upstream": upstream.upstream_id,
+        "cause": cause,
+        "strikes": len(record.all_crashes()),
+        "is_refused": record.is_quarantined,
     }
-    return LogDecision("crash_told", fields)
 
 
-def describe_notice(fingerprint: int, sender_id: str, before: int, after: int) -> LogDecision:
-    """Return the line of a notice from a peer, with the strikes known before and after it."""
+def describe_told(report: CrashReport, peer_ids: list[str]) -> LogDecision:
+    """Return the line of a report that is sent to peers."""
+    fields = {**_describe_report(report), "peers": len(peer_ids)}
+    return LogDecision("crash_told", fields | {"first_peers": peer_ids[:MAX_LOGGED_PEERS]})
+
+
+def describe_notice(
+    report: CrashReport, sender_id: str, before: int, record: CrashRecord | None
+) -> LogDecision:
+    """Return the line of a peer's report that was news, with the strikes known before and after."""
     fields = {
-        "fingerprint": format_fingerprint(fingerprint),
+        **_describe_report(report),
         "peer": sender_id,
         "strikes_before": before,
-        "strikes": after,
+        "strikes": 0 if record is None else len(record.all_crashes()),
+        "is_refused": record is not None and record.is_quarantined,
     }
     return LogDecision("crash_notice", fields)
 
@@ -50,9 +61,10 @@
     if record is None:
         return {}
     return {
-        "strikes": len(record.upstream_ids),
-        "crashed": sorted(record.upstream_ids)[:MAX_LOGGED_UPSTREAMS],
-        "struck_before_ms": round(now_ms - record.struck_ms),
+        "strikes": len(record.all_crashes()),
+        "struck_before_ms": round(now_ms - record.crashed_ms),
+        "refused_for_ms": round(record.refused_until_ms - now_ms),
+        "failed_probes": record.failed_probes,
         "told_by": record.told_by,
     }
 
@@ -60,3 +72,12 @@
 def format_fingerprint(fingerprint: int) -> str:
     """Return a fingerprint as it stands in log lines."""
     return f"{fingerprint:016x}"
+
+
+def _describe_report(report: CrashReport) -> dict:
+    return {
+        "fingerprint": format_fingerprint(report.fingerprint),
+        "strikes": len(report.crashes),
+        "is_refused": report.quarantined_age_ms is not None,
+        "is_answered": report.answered_age_ms is not None,
+    }
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegated_request_registry.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegated_request_registry.py
@@ -49,6 +49,11 @@
         """Return the key of a delegated request; None if it has ended."""
         return self._keys.get((sender_id, number))
 
+    def find_sender(self, open_request: OpenRequest) -> str | None:
+        """Return the id of the peer that delegated a request; None if it has cancelled it."""
+        sender = self._senders.get(open_request.request.key)
+        return None if sender is None else sender[0]
+
     def pop_key(self, sender_id: str, number: int) -> int | None:
         """Remove a request cancelled by its sender; return its key, or None if it has ended."""
         key = self._keys.pop((sender_id, number), None)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegated_subrequests.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegated_subrequests.py
@@ -7,7 +7,7 @@
 from geraniumlead.forwarding.open_request import OpenRequest, Subrequest
 from geraniumlead.forwarding.results import Completed
 from geraniumlead.forwarding.subrequest_sender import SubrequestSender
-from geraniumlead.peering import DelegatedReply, PeerContact
+from geraniumlead.peering import CrashReports, DelegatedReply, PeerContact
 from geraniumlead.published_upstreams import UpstreamRecord
 
 OK = 200
@@ -110,6 +110,12 @@
             sender_id, message = self.registry.build_partial_reply(open_request)
             self._actions.append(PeerReply(sender_id, message))
 
+    def send_crashes(self, open_request: OpenRequest, message: CrashReports) -> None:
+        """Tell the peer that delegated a request which upstreams were lost under it."""
+        sender_id = self.registry.find_sender(open_request)
+        if sender_id is not None:
+            self._actions.append(PeerReply(sender_id, message))
+
     def send_final_reply(self, open_request: OpenRequest) -> str:
         """Send a peer the final reply to its request, which ends; return the peer's id."""
         sender_id, message = self.registry.pop_final_reply(open_request)
@@ -132,4 +138,4 @@
             subrequest.is_delegated = False
             self._sender.record_peer_attempts(subrequest, tried.get(subrequest.service, ()))
         unsent = [subrequest for subrequest in missing if not subrequest.open_attempts]
-        self._sender.retry_delegated(delegation.open_request, unsent, reason, now_ms)
+        self._sender.send_unanswered(delegation.open_request, unsent, reason, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
@@ -42,10 +42,14 @@
     @property
     def fingerprint(self) -> int:
         """Return a hash that is the same for each repeat of the request by any caller."""
-        text = f"{self.method} {self.host} {self.target}\n".encode()
-        return xxh3_64_intdigest(text + self.body)
+        return compute_fingerprint(self.method, self.host, self.target, self.body)
 
     @property
     def is_delegated(self) -> bool:
         """Return whether a peer delegated the request to this instance."""
         return bool(self.shards)
+
+
+def compute_fingerprint(method: str, host: str, target: str, body: bytes) -> int:
+    """Return a hash that is the same for each repeat of a request, on every instance."""
+    return xxh3_64_intdigest(f"{method} {host} {target}\n".encode() + body)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
@@ -37,6 +37,7 @@
 
     __slots__ = (
         "_actions",
+        "_is_informed",
         "_is_isolated",
         "_peers",
         "_retry_after",
@@ -61,15 +62,20 @@
             settings, upstream_view, random, self._retry_after, self._actions, directory
         )
         self.published = PublishedState(upstream_view, self._runner.chooser, self._actions)
-        self._peers = PeerMessageHandler(directory, self._runner, self.published, self._actions)
+        self._peers = PeerMessageHandler(
+            directory, self._runner, self.published, self._actions, random
+        )
         self.store_watch = StoreWatch(directory, settings.data_centre, settings.regions)
         self.is_stopping = False
         self._is_isolated = False
+        self._is_informed = directory.is_informed(now_ms)
 
     @property
     def is_ready(self) -> bool:
         """Return whether the load balancer may send requests to this instance."""
-        return not self.is_stopping and self.published.can_serve and not self._is_isolated
+        if self.is_stopping or self._is_isolated or not self._is_informed:
+            return False
+        return self.published.can_serve
 
     @property
     def open_requests(self) -> int:
@@ -110,7 +116,10 @@
                 self._runner.processing_delay.record_write(took_ms, now_ms)
             case TimePassed():
                 pass
+        self._is_informed = self._is_informed or self._peers.directory.is_informed(now_ms)
         self.published.expire(now_ms)
+        for upstream in self.published.drain_lost():
+            self._runner.handle_lost_process(upstream, now_ms)
         self._runner.wake(now_ms)
         self._check_isolation(now_ms)
         self._peers.wake(now_ms, self.is_ready)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
@@ -35,7 +35,8 @@
 
     ``sent_to`` holds an entry for each attempt that may have arrived, including the attempts of a
     peer; None stands for an attempt whose upstream the peer did not name. ``is_delegated`` is set
-    while a peer is responsible for the subrequest.
+    while a peer is responsible for the subrequest, and ``is_held`` while it waits for an answer of
+    another one, since the request may crash upstreams.
     """
 
     request: "OpenRequest"
@@ -46,6 +47,7 @@
     may_have_run: bool = False
     is_waiting: bool = False
     is_delegated: bool = False
+    is_held: bool = False
     is_reported: bool = False
     answer: Completed | None = None
     failure: str | None = None
@@ -152,6 +154,18 @@
             {"at_ms": at_ms, "service": subrequest.service, "upstream": upstream_id, "what": what}
         )
 
+    @property
+    def is_awaiting_answers(self) -> bool:
+        """Return whether an upstream or a peer may still answer any subrequest."""
+        return bool(self.delegations) or any(
+            subrequest.open_attempts or subrequest.is_waiting for subrequest in self.subrequests
+        )
+
+    @property
+    def held(self) -> list[Subrequest]:
+        """Return the subrequests that wait for the answer of another one."""
+        return [subrequest for subrequest in self.subrequests if subrequest.is_held]
+
     @property
     def may_have_run(self) -> bool:
         """Return whether any upstream may have executed any subrequest."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
@@ -1,11 +1,14 @@
+from random import Random
+
 from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, PeerReply
-from geraniumlead.forwarding.crash_log import describe_notice, describe_told
+from geraniumlead.forwarding.crash_reporter import CrashReporter
 from geraniumlead.forwarding.delegation_tracker import Lateness, find_delegated_route
 from geraniumlead.forwarding.events import PeerMessageReceived
+from geraniumlead.forwarding.forwarded_request import compute_fingerprint
 from geraniumlead.forwarding.published_state import PublishedState
 from geraniumlead.forwarding.request_runner import RequestRunner
 from geraniumlead.peering import (
-    CrashNotice,
+    CrashReports,
     DelegatedReply,
     DelegatedRequest,
     DelegationAcknowledged,
@@ -18,11 +21,6 @@
 )
 from geraniumlead.peering.outgoing_peer_message import OutgoingPeerMessage
 
-MAX_NOTIFIED_PEERS = 40
-"""Maximum number of peers that are notified of a crash; it covers all peers of present fleets. In
-larger fleets each of them notifies others when it gets the request, so that the request is refused
-after one more crash at most."""
-
 MAX_LOGGED_PEERS = 20
 """Maximum number of live peers named in a log entry; it always has their count."""
 
@@ -44,7 +42,15 @@
     It starts the requests that peers delegate to this instance.
     """
 
-    __slots__ = ("_actions", "_count_due_ms", "_last_counted", "_published", "_runner", "directory")
+    __slots__ = (
+        "_actions",
+        "_count_due_ms",
+        "_crashes",
+        "_last_counted",
+        "_published",
+        "_runner",
+        "directory",
+    )
 
     def __init__(
         self,
@@ -52,8 +58,10 @@
         runner: RequestRunner,
         published: PublishedState,
         actions: list[ForwardingAction],
+        random: Random,
     ) -> None:
         self._runner = runner
+        self._crashes = CrashReporter(runner.crashes, directory, random, actions)
         self._published = published
         self._actions = actions
         self._last_counted: tuple[int, list[str]] = (0, [])
@@ -70,6 +78,7 @@
                         peer, self._configuration_version(), is_ready, now_ms
                     )
                     self._actions.append(hello)
+                self._crashes.handle_hello(message, now_ms)
             case Goodbye():
                 self.directory.handle_goodbye(sender_id, message)
             case DelegatedRequest():
@@ -83,13 +92,13 @@
                 delegation = self._runner.delegated.tracker.handle_reply(number, message, now_ms)
                 if delegation is not None:
                     self._runner.handle_delegated_reply(delegation, message, now_ms)
-            case CrashNotice(fingerprint=fingerprint, upstream_ids=upstream_ids):
-                self._handle_crash_notice(sender_id, fingerprint, upstream_ids, now_ms)
+            case CrashReports():
+                self._crashes.handle_reports(sender_id, message, now_ms)
             case DelegationCancelled() | DelegationHedged():
                 self._handle_delegation_change(sender_id, message, now_ms)
 
     def wake(self, now_ms: float, is_ready: bool) -> None:
-        """Send due hellos and crash notices, handle overdue delegations and count the instances."""
+        """Send due hellos and crash reports, handle overdue delegations and count the instances."""
         self._actions += self.directory.pop_due_hellos(
             self._configuration_version(), is_ready, now_ms
         )
@@ -105,22 +114,18 @@
                 self._runner.reclaim_delegated(delegation, "peer silent", now_ms)
             else:
                 self._runner.hedge_delegated(delegation, now_ms)
-        for fingerprint, upstream_ids in self._runner.crashes.drain_unsent().items():
-            notice = CrashNotice(fingerprint, upstream_ids)
-            contacts = [peer.contact for peer in self.directory.live(now_ms)[:MAX_NOTIFIED_PEERS]]
-            self._actions += [
-                OutgoingPeerMessage(contact.instance_id, contact.address, notice)
-                for contact in contacts
-            ]
-            peer_ids = [contact.instance_id for contact in contacts]
-            self._actions.append(describe_told(fingerprint, len(upstream_ids), peer_ids))
+        self._crashes.wake(now_ms)
         if now_ms >= self._count_due_ms:
             self._count_due_ms = now_ms + COUNT_INTERVAL_MS
             self._count_instances(now_ms)
 
     def next_wake_ms(self) -> float:
         """Return when ``wake`` has to be called."""
-        return min(self.directory.next_wake_ms(), self._runner.delegated.tracker.next_wake_ms())
+        return min(
+            self.directory.next_wake_ms(),
+            self._crashes.next_wake_ms(),
+            self._runner.delegated.tracker.next_wake_ms(),
+        )
 
     def send_goodbye(self, now_ms: float) -> None:
         """Notify peers that this instance takes no new requests."""
@@ -154,11 +159,24 @@
         if message.time_left_ms - waited_ms < MIN_TIME_LEFT_MS:
             self._decline_late(sender_id, message, waited_ms, now_ms)
             return
+        if self._is_crashing(message):
+            # The sender has to know why before it sends the shards to upstreams itself.
+            self._actions.append(PeerReply(sender_id, self._build_crash_reports(message, now_ms)))
+            self._decline(sender_id, message, now_ms)
+            return
         acknowledged = DelegationAcknowledged(message.number, now_ms)
         self._actions.append(PeerReply(sender_id, acknowledged))
         request = self._runner.delegated.registry.register(sender_id, message, waited_ms, now_ms)
         self._runner.start(request, route, configuration, now_ms)
 
+    def _is_crashing(self, message: DelegatedRequest) -> bool:
+        """Return whether a peer's request is refused here since it crashes upstreams."""
+        crashes = self._runner.crashes
+        return bool(crashes) and crashes.is_quarantined(_fingerprint_of(message))
+
+    def _build_crash_reports(self, message: DelegatedRequest, now_ms: float) -> CrashReports:
+        return self._crashes.build_message([_fingerprint_of(message)], now_ms)
+
     def _decline(self, sender_id: str, message: DelegatedRequest, now_ms: float) -> None:
         declined = DelegatedReply(message.number, is_declined=True, sent_ms=now_ms)
         self._actions.append(PeerReply(sender_id, declined))
@@ -196,16 +214,6 @@
                 if key is not None:
                     self._runner.mark_hedged(key)
 
-    def _handle_crash_notice(
-        self, sender_id: str, fingerprint: int, upstream_ids: tuple[str, ...], now_ms: float
-    ) -> None:
-        crashes = self._runner.crashes
-        known = crashes.find(fingerprint)
-        before = 0 if known is None else len(known.upstream_ids)
-        crashes.handle_notice(fingerprint, upstream_ids, now_ms, sender_id)
-        after = len(crashes.find(fingerprint).upstream_ids)
-        self._actions.append(describe_notice(fingerprint, sender_id, before, after))
-
     def _count_instances(self, now_ms: float) -> None:
         count = self.directory.instance_count(now_ms)
         live_ids = [peer.contact.instance_id for peer in self.directory.live(now_ms)]
@@ -232,6 +240,10 @@
         return 0 if configuration is None else configuration.version
 
 
+def _fingerprint_of(message: DelegatedRequest) -> int:
+    return compute_fingerprint(message.method, message.host, message.target, message.body)
+
+
 def _waited_ms(message: DelegatedRequest, way_ms: float | None, now_ms: float) -> float:
     """Return how much later than expected a request came; 0 if neither clock can tell."""
     if message.end_ms is not None:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/published_state.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/published_state.py
@@ -35,6 +35,7 @@
     __slots__ = (
         "_actions",
         "_chooser",
+        "_lost",
         "_lost_since_ms",
         "_upstream_view",
         "answered_ms",
@@ -48,6 +49,7 @@
         self._chooser = chooser
         self._actions = actions
         self._lost_since_ms: float | None = None
+        self._lost: list[UpstreamRecord] = []
         self.configuration: PublishedConfiguration | None = None
         self.answered_ms = float("-inf")
 
@@ -107,9 +109,15 @@
 
     def expire(self, now_ms: float) -> None:
         """Remove the upstreams whose entries lapsed and did not come back."""
-        for upstream_id in self._upstream_view.expire(now_ms):
-            self._chooser.forget(upstream_id)
-            self._log("upstream_left", {"upstream": upstream_id, "cause": "lapsed"})
+        for record in self._upstream_view.expire(now_ms):
+            self._lost.append(record)
+            self._chooser.forget(record.upstream_id)
+            self._log("upstream_left", {"upstream": record.upstream_id, "cause": "lapsed"})
+
+    def drain_lost(self) -> list[UpstreamRecord]:
+        """Return the upstreams that ended without draining first, and clear the list."""
+        lost, self._lost = self._lost, []
+        return lost
 
     def next_wake_ms(self) -> float:
         """Return when ``expire`` has to be called."""
@@ -142,6 +150,8 @@
                 fields = {"upstream": record.upstream_id, "ready": record.is_ready}
                 self._log("upstream_changed", fields)
             return
+        if before is not None and before.is_ready and before.started_ms != record.started_ms:
+            self._lost.append(before)
         self._chooser.forget(record.upstream_id)
         self._chooser.cold_limiter.record_cold(record.upstream_id, record.cold_left_ms, now_ms)
         fields = {
@@ -154,7 +164,10 @@
         self._log("upstream_entered", fields)
 
     def _withdraw(self, upstream_id: str, now_ms: float) -> None:
+        record = self._upstream_view.get(upstream_id)
         if self._upstream_view.remove(upstream_id, now_ms):
+            if record is not None and record.is_ready:
+                self._lost.append(record)
             self._chooser.forget(upstream_id)
             self._log("upstream_left", {"upstream": upstream_id, "cause": "withdrawn"})
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -1,10 +1,11 @@
 from collections.abc import Sequence
 from random import Random
 
+from geraniumlead.crashes import Crash, CrashTracker
 from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, SendReply
-from geraniumlead.forwarding.attempt_tracker import AttemptTracker
+from geraniumlead.forwarding.attempt_tracker import AttemptTracker, process_of
+from geraniumlead.forwarding.crash_log import describe_loss
 from geraniumlead.forwarding.crash_refusal import refuse_crashing
-from geraniumlead.forwarding.crash_tracker import CrashTracker
 from geraniumlead.forwarding.delegated_subrequests import DelegatedSubrequests
 from geraniumlead.forwarding.delegation_planner import DelegationPlanner
 from geraniumlead.forwarding.delegation_tracker import Delegation
@@ -20,11 +21,14 @@
 from geraniumlead.forwarding.upstream_chooser import UpstreamChooser
 from geraniumlead.forwarding.waiting_subrequests import MAX_WAIT_GOAL_SHARE
 from geraniumlead.forwarding.wake_times import NEVER_MS, WakeTimes
-from geraniumlead.peering import DelegatedReply, PeerDirectory
-from geraniumlead.published_upstreams import UpstreamView
+from geraniumlead.peering import CrashReports, DelegatedReply, PeerDirectory
+from geraniumlead.published_upstreams import UpstreamRecord, UpstreamView
 from geraniumlead.routes import PublishedConfiguration, Route
 from geraniumlead.settings.forwarding_settings import ForwardingSettings
 
+LAPSED = "entry lapsed"
+"""Cause of a loss that only the upstream's entry in the store has shown."""
+
 
 class RequestRunner:
     """Runs the open requests of this instance, and ends each with exactly one reply.
@@ -61,7 +65,7 @@
         self._actions = actions
         self._upstream_view = upstream_view
         self._tracker = AttemptTracker(settings, upstream_view, random, actions)
-        self.crashes = CrashTracker()
+        self.crashes = CrashTracker(settings.instance_id)
         self._sender = SubrequestSender(self._tracker, self.crashes, actions)
         planner = DelegationPlanner(settings, upstream_view, directory, random)
         self.delegated = DelegatedSubrequests(planner, self._sender, actions, directory.own_contact)
@@ -101,7 +105,7 @@
         now_ms: float,
     ) -> None:
         """Send a request to one upstream of each of its services, or refuse it."""
-        if not request.is_delegated and self._is_crashing(request, now_ms):
+        if self._must_refuse(request, now_ms):
             record = self.crashes.find(request.fingerprint)
             self._actions += refuse_crashing(request, route, record, now_ms)
             return
@@ -130,8 +134,25 @@
             self._tracker.send(subrequest, upstream, now_ms)
         self._finish_or_schedule(open_request, now_ms)
 
-    def _is_crashing(self, request: ForwardedRequest, now_ms: float) -> bool:
-        return bool(self.crashes) and self.crashes.is_refused(request.fingerprint, now_ms)
+    def _must_refuse(self, request: ForwardedRequest, now_ms: float) -> bool:
+        """Return whether a caller's request has to be refused since it crashes upstreams."""
+        if request.is_delegated or not self.crashes:
+            return False
+        return not self.crashes.may_start(request.fingerprint, now_ms)
+
+    def handle_lost_process(self, upstream: UpstreamRecord, now_ms: float) -> None:
+        """Record the requests that a lost upstream process had and that none has answered."""
+        process = process_of(upstream)
+        for attempt in self._tracker.open_at(process):
+            if not attempt.subrequest.request.answered:
+                self._sender.record_lost(attempt, LAPSED, now_ms, is_silent=True)
+        for found in self._tracker.unanswered.pop(process, now_ms):
+            crash = Crash(process, found.sent_ms, found.ended_ms, is_silent=True)
+            record = self.crashes.record_lost(found.fingerprint, crash, now_ms)
+            if record is not None:
+                self.crashes.record_failed(found.fingerprint)
+                fields = describe_loss(found.fingerprint, upstream, record, LAPSED)
+                self._actions.append(LogDecision("crash_strike", fields, "warning"))
 
     def handle_delegated_reply(
         self, delegation: Delegation, reply: DelegatedReply, now_ms: float
@@ -173,6 +194,7 @@
         open_request = self._open.pop(key, None)
         if open_request is not None:
             self._cancel_all(open_request, now_ms)
+            self._report_crashes(open_request, now_ms)
             self._log(open_request, "caller_left", None, now_ms)
 
     def wake(self, now_ms: float) -> None:
@@ -260,6 +282,7 @@
         """End a request that needs no more answers, or can't get enough of them."""
         if open_request.request.key not in self._open:
             return True
+        self._sender.resolve_held(open_request, now_ms)
         is_over_goal = open_request.is_fan_out and now_ms >= open_request.goal_ms
         if (
             is_over_goal
@@ -288,16 +311,29 @@
         for subrequest in open_request.subrequests:
             subrequest.may_have_run = subrequest.may_have_run or bool(subrequest.open_attempts)
         self._cancel_all(open_request, now_ms)
+        self._report_crashes(open_request, now_ms)
         if open_request.request.is_delegated:
             sender_id = self.delegated.send_final_reply(open_request)
             self._log(open_request, f"for {sender_id}", None, now_ms)
             return
-        if self.crashes and not open_request.answered:
-            self.crashes.record_ended(open_request.request.fingerprint)
         reply = decide_reply(open_request, reason, self._retry_after.draw())
         self._actions.append(SendReply(open_request.request.key, reply))
         self._log(open_request, reason, reply, now_ms)
 
+    def _report_crashes(self, open_request: OpenRequest, now_ms: float) -> None:
+        """Let peers be told of the upstreams that were lost under a request without any answer.
+
+        The peer that delegated it is told before it gets the reply, or it would send what is
+        missing to the other upstreams.
+        """
+        fingerprint = open_request.request.fingerprint
+        if open_request.answered or self.crashes.find(fingerprint) is None:
+            return
+        self.crashes.record_failed(fingerprint)
+        if open_request.request.is_delegated:
+            report = self.crashes.report(fingerprint, now_ms)
+            self.delegated.send_crashes(open_request, CrashReports(now_ms, (report,)))
+
     def _cancel_all(self, open_request: OpenRequest, now_ms: float) -> None:
         for service in self._sender.cancel(open_request, now_ms):
             self._send_waiting(service, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
@@ -1,9 +1,10 @@
 from collections.abc import Sequence
 
+from geraniumlead.crashes import Crash, CrashTracker, hash_lost_process
 from geraniumlead.forwarding.actions import ForwardingAction
 from geraniumlead.forwarding.attempt_tracker import AttemptTracker
 from geraniumlead.forwarding.crash_log import describe_strike
-from geraniumlead.forwarding.crash_tracker import CrashTracker
+from geraniumlead.forwarding.crash_refusal import CRASHES_UPSTREAMS
 from geraniumlead.forwarding.open_request import Attempt, OpenRequest, Subrequest
 from geraniumlead.forwarding.results import (
     AttemptResult,
@@ -23,6 +24,9 @@
 """Reasons for which a subrequest fails before it is sent: no upstream may be used, or none can
 answer before the end of the request."""
 
+HELD_BACK = "held back"
+"""Reason for which a subrequest fails that waited in vain for the answer of another one."""
+
 STRAGGLER_ANSWERED_SHARE = 0.5
 """Share of a query's subrequests that have to be answered before one of the others counts as a
 straggler, while the latencies of the route are not known."""
@@ -51,8 +55,11 @@
     ) -> list[tuple[Subrequest, UpstreamRecord]]:
         """Choose upstreams; a subrequest waits if only a call slot is lacking, else it fails.
 
-        One whose upstream can't answer before the end of the request fails, too.
+        One whose upstream can't answer before the end of the request fails, too. Of a query that
+        may crash upstreams only one subrequest is sent.
         """
+        if open_request.is_fan_out and self._crashes.is_suspected(open_request.request.fingerprint):
+            return self._choose_canary(open_request, now_ms)
         chosen: list[tuple[Subrequest, UpstreamRecord]] = []
         relative_rtts = self._tracker.relative_rtts
         max_relative_rtt_ms = self._tracker.max_relative_rtt_ms(open_request, now_ms)
@@ -71,6 +78,38 @@
                 open_request.settle_failed(subrequest, NO_UPSTREAM, now_ms)
         return chosen
 
+    def _choose_canary(
+        self, open_request: OpenRequest, now_ms: float
+    ) -> list[tuple[Subrequest, UpstreamRecord]]:
+        """Choose the upstream of one subrequest, and hold the others until it is answered.
+
+        Failure: the next try of a query that crashed a replica of each shard crashed the other
+        replica of each. All instances begin at the same shard, so that the others stay available.
+        """
+        subrequests = open_request.subrequests
+        first = open_request.request.fingerprint % len(subrequests)
+        for canary in subrequests[first:] + subrequests[:first]:
+            upstream = self._tracker.choose_in_time(canary, now_ms)
+            if upstream is not None:
+                for subrequest in subrequests:
+                    subrequest.is_held = subrequest is not canary
+                return [(canary, upstream)]
+        for subrequest in subrequests:
+            open_request.settle_failed(subrequest, NO_UPSTREAM, now_ms)
+        return []
+
+    def resolve_held(self, open_request: OpenRequest, now_ms: float) -> None:
+        """Send the held subrequests of a query once any was answered; fail them if none can be."""
+        held = open_request.held
+        if not held or (not open_request.answered and open_request.is_awaiting_answers):
+            return
+        for subrequest in held:
+            subrequest.is_held = False
+            if not open_request.answered:
+                open_request.settle_failed(subrequest, HELD_BACK, now_ms)
+        if open_request.answered:
+            self.send_unanswered(open_request, held, HELD_BACK, now_ms)
+
     def record_first(self, open_request: OpenRequest, now_ms: float) -> None:
         """Count the first attempts of the subrequests that this instance sends itself.
 
@@ -78,7 +117,7 @@
         the budgets of both, and together they exceeded the bound of the service.
         """
         for subrequest in open_request.subrequests:
-            if not subrequest.is_delegated:
+            if not subrequest.is_delegated and not subrequest.is_held:
                 self._tracker.budgets.record_first(subrequest.service, now_ms)
 
     def send_waiting(self, service: str, now_ms: float) -> list[Subrequest]:
@@ -89,6 +128,9 @@
             if upstream is None:
                 self._waiting.add(subrequest)
                 break
+            if self._may_crash_more(subrequest.request):
+                subrequest.request.settle_failed(subrequest, CRASHES_UPSTREAMS, now_ms)
+                continue
             if not self._tracker.is_in_time(subrequest.request, upstream, now_ms):
                 subrequest.request.settle_failed(subrequest, TOO_LATE, now_ms)
                 continue
@@ -99,14 +141,18 @@
             sent.append(subrequest)
         return sent
 
-    def retry_delegated(
+    def send_unanswered(
         self, open_request: OpenRequest, subrequests: list[Subrequest], reason: str, now_ms: float
     ) -> None:
-        """Send subrequests that a peer did not answer from this instance.
+        """Send subrequests from this instance that a peer did not answer, or that were held.
 
         The attempts of the peer count towards the route's maximum number of upstreams: with a
         separate count here one request would reach twice as many.
         """
+        if self._may_crash_more(open_request):
+            for subrequest in subrequests:
+                subrequest.is_held = True
+            return
         for subrequest in subrequests:
             is_too_late = open_request.has_enough and now_ms >= open_request.goal_ms
             upstream = None if is_too_late else self._tracker.choose_in_time(subrequest, now_ms)
@@ -130,6 +176,8 @@
         If all of it were spent on one slow peer, subrequests that fail in the next seconds could
         not be retried.
         """
+        if subrequests and self._may_crash_more(subrequests[0].request):
+            return
         budgets = self._tracker.budgets
         may_send = budgets.may_retry if is_overdue else budgets.may_hedge
         for subrequest in subrequests:
@@ -160,8 +208,8 @@
                 open_request.is_fan_out or open_request.route.is_idempotent
             ):
                 subrequest.may_have_run = True
-                if self._crashes:
-                    self._crashes.record_answered(open_request.request.fingerprint)
+                if not open_request.answered:
+                    self._crashes.record_answered(open_request.request.fingerprint, now_ms)
                 if len(subrequest.tried) > 1 or now_ms > open_request.goal_ms:
                     what = f"answered after {now_ms - attempt.sent_ms:.0f} ms"
                     open_request.record_step(subrequest, upstream_id, what, now_ms)
@@ -184,17 +232,25 @@
             case PossiblyExecuted(detail=detail, is_connection_lost=is_lost):
                 subrequest.may_have_run = True
                 if is_lost and not open_request.answered:
-                    fingerprint = open_request.request.fingerprint
-                    self._crashes.record_lost(fingerprint, upstream_id, now_ms)
-                    record = self._crashes.find(fingerprint)
-                    self._actions.append(describe_strike(attempt, record, detail))
+                    self.record_lost(attempt, detail, now_ms)
                 reason = f"lost: {detail}"
         open_request.record_step(subrequest, upstream_id, reason, now_ms)
         self._retry_or_fail(subrequest, result, reason, now_ms)
 
+    def record_lost(
+        self, attempt: Attempt, cause: str, now_ms: float, is_silent: bool = False
+    ) -> None:
+        """Record that an upstream was lost under a request that none has answered yet."""
+        request, upstream = attempt.subrequest.request.request, attempt.upstream
+        process = hash_lost_process(upstream.upstream_id, upstream.started_ms, attempt.sent_ms)
+        crash = Crash(process, attempt.sent_ms, now_ms, is_silent)
+        record = self._crashes.record_lost(request.fingerprint, crash, now_ms)
+        if record is not None:
+            self._actions.append(describe_strike(request, upstream, record, cause))
+
     def hedge_late(self, open_request: OpenRequest, now_ms: float) -> None:
         """Hedge the subrequests whose only attempt is late."""
-        if open_request.is_hedged:
+        if open_request.is_hedged or self._may_crash_more(open_request):
             return
         for subrequest in open_request.subrequests:
             if subrequest.is_settled or len(subrequest.open_attempts) != 1:
@@ -245,10 +301,15 @@
             return
         open_request = subrequest.request
         is_repeatable = open_request.route.is_idempotent or not subrequest.may_have_run
-        if not open_request.is_fan_out and self._is_crashing(open_request, now_ms):
-            # A query over all shards may lose several upstreams at once in a power failure and
-            # continues with the others. It counts as the cause only if none has answered.
-            is_repeatable = False
+        if self._may_crash_more(open_request):
+            if open_request.is_awaiting_answers:
+                # In a power failure a query loses several upstreams at once, and goes on when
+                # another one answers.
+                subrequest.is_held = True
+                return
+            is_quarantined = self._crashes.is_quarantined(open_request.request.fingerprint)
+            if is_quarantined or not isinstance(result, NotReached):
+                reason, is_repeatable = f"{reason}, {CRASHES_UPSTREAMS}", False
         if is_repeatable and now_ms < open_request.end_ms:
             is_free = isinstance(result, NotReached)
             if open_request.is_hedged and not is_free:
@@ -276,10 +337,11 @@
         else:
             self._tracker.resend(subrequest, upstream, reason, now_ms)
 
-    def _is_crashing(self, open_request: OpenRequest, now_ms: float) -> bool:
-        if not self._crashes:
+    def _may_crash_more(self, open_request: OpenRequest) -> bool:
+        """Return whether a request is suspected of crashing upstreams, and none has answered it."""
+        if not self._crashes or open_request.answered:
             return False
-        return self._crashes.is_refused(open_request.request.fingerprint, now_ms)
+        return self._crashes.is_suspected(open_request.request.fingerprint)
 
     def _is_lateness_common(self, open_request: OpenRequest, now_ms: float) -> bool:
         """Return whether lateness is common to a query's subrequests, so that none is a straggler.
--- a/packages/geraniumlead/src/geraniumlead/peering/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/__init__.py
@@ -3,7 +3,8 @@
 from geraniumlead.peering.directory import PeerDirectory
 from geraniumlead.peering.known_peer import KnownPeer
 from geraniumlead.peering.messages import (
-    CrashNotice,
+    CrashReport,
+    CrashReports,
     DelegatedReply,
     DelegatedRequest,
     DelegationAcknowledged,
@@ -25,7 +26,8 @@
 
 __all__ = [
     "UPDATE_TIMEOUT_JITTER",
-    "CrashNotice",
+    "CrashReport",
+    "CrashReports",
     "DelegatedReply",
     "DelegatedRequest",
     "DelegationAcknowledged",
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -27,6 +27,9 @@
 STARTUP_MS = 4_000.0
 """Time after a start in which ASSUMED_START_INSTANCES applies; the seeds may be stale for 3 s."""
 
+INFORMED_AFTER_MS = 500.0
+"""Longest time for which an instance that has just started waits for the first hello of a peer."""
+
 MAX_GOODBYES = 40
 """Largest number of peers that get a goodbye."""
 
@@ -47,6 +50,7 @@
     __slots__ = (
         "_contact",
         "_contact_selector",
+        "_has_heard_peer",
         "_highest_count",
         "_incarnation",
         "_next_heartbeat_ms",
@@ -54,6 +58,7 @@
         "_rings",
         "_seeds",
         "_started_ms",
+        "crash_digest",
         "peers",
     )
 
@@ -74,8 +79,10 @@
         self._highest_count = HighestCount()
         self._rings = HeartbeatRings(contact, regions or {})
         self._contact_selector = ContactSelector(random)
+        self._has_heard_peer = False
         self._random = random
         self.peers: dict[str, KnownPeer] = {}
+        self.crash_digest = 0
 
     @property
     def own_contact(self) -> PeerContact:
@@ -91,6 +98,15 @@
         """Replace the addresses of the seeds."""
         self._seeds = tuple(address for address in seeds if address != self._contact.address)
 
+    def is_informed(self, now_ms: float) -> bool:
+        """Return whether a peer has told this instance what the fleet knows.
+
+        Failure: an instance that has just started is the first to be asked for what all others
+        refuse. It doesn't wait long, since the whole fleet may be starting.
+        """
+        is_alone = not self._seeds
+        return is_alone or self._has_heard_peer or now_ms - self._started_ms >= INFORMED_AFTER_MS
+
     def is_live(self, peer: KnownPeer, now_ms: float) -> bool:
         """Return whether a peer sent a hello or was named lately, and has not sent a goodbye."""
         return not peer.has_left and self._may_be_alive(peer, now_ms)
@@ -191,6 +207,7 @@
         instance_id = hello.contact.instance_id
         if instance_id == self._contact.instance_id:
             return []
+        self._has_heard_peer = True
         peers_needing_hello = []
         peer = self.peers.get(instance_id)
         if peer is None or peer.latest_hello_ms == float("-inf") or hello.asks_names:
@@ -329,4 +346,5 @@
             asks_names=peer is None,
             count=self._highest_count.latest,
             running_ms=now_ms - self._started_ms,
+            crash_digest=self.crash_digest,
         )
--- a/packages/geraniumlead/src/geraniumlead/peering/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -34,7 +34,8 @@
     ``held_ms`` is how long ago that arrived, so that the receiver can compute the one-way delay.
     ``known`` holds contacts of some peers; a sender that has just started asks for them by
     ``asks_names``. ``count`` is how many instances the sender counts, itself included.
-    ``running_ms`` is how long ago it started.
+    ``running_ms`` is how long ago it started. ``crash_digest`` is the same for two instances that
+    refuse the same requests because they crash upstreams.
     """
 
     contact: PeerContact
@@ -48,6 +49,7 @@
     asks_names: bool = False
     count: int = 1
     running_ms: float = 0.0
+    crash_digest: int = 0
 
 
 class Goodbye(Struct, frozen=True, array_like=True, tag="farewell"):
@@ -127,11 +129,32 @@
     number: int
 
 
-class CrashNotice(Struct, frozen=True, array_like=True, tag="crashes"):
-    """A notice that upstreams were lost while they ran a request that none has answered."""
+class CrashReport(Struct, frozen=True, array_like=True):
+    """What an instance knows of a request under which upstreams were lost.
+
+    ``crashes`` holds, for each lost process of an upstream, a hash of its id and start, how long
+    ago the request was sent to it and it was lost, and whether it fell silent. A request that is
+    refused has ``quarantined_age_ms``; ``probed_age_ms`` is how long ago it was sent in spite of
+    that, and ``failed_probes`` how often that crashed an upstream.
+    ``answered_age_ms`` is how long ago an upstream answered it; what was lost before tells nothing.
+    """
 
     fingerprint: int
-    upstream_ids: tuple[str, ...]
+    crashes: tuple[tuple[int, int, int, bool], ...] = ()
+    quarantined_age_ms: int | None = None
+    probed_age_ms: int | None = None
+    failed_probes: int = 0
+    answered_age_ms: int | None = None
+
+
+class CrashReports(Struct, frozen=True, array_like=True, tag="crash_reports"):
+    """What an instance knows of some requests; ``sent_ms`` is its clock.
+
+    All ages are those at that time.
+    """
+
+    sent_ms: float
+    reports: tuple[CrashReport, ...]
 
 
 class StoreItem(Struct, frozen=True, array_like=True):
@@ -178,7 +201,7 @@
     | DelegatedReply
     | DelegationCancelled
     | DelegationHedged
-    | CrashNotice
+    | CrashReports
     | StateRequest
     | StoreUpdates
 )
--- a/packages/geraniumlead/src/geraniumlead/published_upstreams/upstream_view.py
+++ b/packages/geraniumlead/src/geraniumlead/published_upstreams/upstream_view.py
@@ -84,12 +84,10 @@
         """Return the data centres whose upstreams get no requests."""
         return self._evacuated
 
-    def expire(self, now_ms: float) -> list[str]:
-        """Forget the upstreams whose delayed removal is due; return their ids."""
+    def expire(self, now_ms: float) -> list[UpstreamRecord]:
+        """Forget the upstreams whose delayed removal is due; return their last records."""
         due = [name for name, due_ms in self._leaving_ms.items() if due_ms <= now_ms]
-        for upstream_id in due:
-            self._forget(upstream_id)
-        return due
+        return [self._forget(upstream_id) for upstream_id in due]
 
     def next_wake_ms(self) -> float | None:
         """Return when ``expire`` has to be called; None when no removal is delayed."""
@@ -104,7 +102,8 @@
             if record.is_ready and record.data_centre not in self._evacuated
         ]
 
-    def _forget(self, upstream_id: str) -> None:
+    def _forget(self, upstream_id: str) -> UpstreamRecord:
         record = self._records.pop(upstream_id)
         self._leaving_ms.pop(upstream_id, None)
         del self._by_service[record.service][upstream_id]
+        return record
--- a/packages/geraniumlead/tests/core_tests/forwarding/fleet_harness.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/fleet_harness.py
@@ -48,6 +48,7 @@
             self.members[address] = ForwarderHarness(self._settings[address], seed=number + 1)
         self.silent: set[str] = set()
         self.slow_ms: dict[str, float] = {}
+        self.sent_bytes: dict[str, int] = defaultdict(int)
         self._delayed: list[tuple[float, str, str, PeeringMessage]] = []
 
     def publish(self, updates: PublishedUpdates) -> None:
@@ -113,7 +114,9 @@
     def _send(self, address: str, outgoing: OutgoingPeerMessage) -> None:
         if address in self.silent or outgoing.address in self.silent:
             return
-        message = decode_peering(encode_peering(outgoing.message))
+        data = encode_peering(outgoing.message)
+        self.sent_bytes[address] += len(data)
+        message = decode_peering(data)
         late_ms = self.slow_ms.get(address, 0.0)
         if late_ms:
             due_ms = self.now_ms + late_ms
--- a/packages/geraniumlead/tests/core_tests/forwarding/instance_pair.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/instance_pair.py
@@ -55,6 +55,15 @@
                     message = decode_peering(encode_peering(outgoing.message))
                     by_address[outgoing.address].handle(PeerMessageReceived(sender_id, message))
 
+    def deliver_from(self, harness: ForwarderHarness) -> None:
+        """Deliver the messages that one instance has sent, but no responses to them."""
+        is_near = harness is self.near
+        receiver = self.far if is_near else self.near
+        messages, harness.outgoing = harness.outgoing, []
+        for outgoing in messages:
+            message = decode_peering(encode_peering(outgoing.message))
+            receiver.handle(PeerMessageReceived(NEAR if is_near else FAR, message))
+
     def find_messages(self, harness: ForwarderHarness, kind: type) -> list:
         """Return the messages of a kind that an instance has sent and that are not delivered."""
         return [outgoing for outgoing in harness.outgoing if isinstance(outgoing.message, kind)]
