Tell quarantines of the query interface to instances that come later

A query that the others had quarantined was fanned out by an instance that had just started: all four shards lost a replica (test_crash_query, red before). A heartbeat has a digest of its sender's quarantines, and whoever has others answers with the latest eight of them; the next heartbeats repeat that until the digests agree.

--- a/packages/geraniumlead-standins/tests/standins_tests/bench/test_crash_query.py
+++ b/packages/geraniumlead-standins/tests/standins_tests/bench/test_crash_query.py
@@ -75,3 +75,43 @@
         self.assertIsInstance(outcome, NotRun)
         self.assertEqual(RefusalReason.QUARANTINED, outcome.reason)
         self.assertGreater(outcome.retry_after_ms, 1_000.0)
+
+    def test_an_instance_that_starts_later_refuses_what_the_others_refuse(self):
+        """Guards against a quarantine that is told once, and unknown to who starts afterwards."""
+        load = CallerLoad(LARGE_SIZE, 5, [build_load_contract()])
+        load.add(CallerStream("lookup", 0.3 * CAPACITY_PER_S, end_ms=16_000.0))
+        load.run.queue.run_until(9_500.0)
+        answers = self.collect_answers(load)
+        for number in range(6):
+            self.send_crashing(load, f"before-{number}", f"noord-{number % 3}")
+            load.run.queue.run_until(load.run.now_ms + 500.0)
+        crashes = sum(upstream.crashes for upstream in load.run.upstreams.values())
+        load.run.kill("noord-1")
+        load.run.start_instance(load.cluster.settings["noord-1"])
+        load.run.queue.run_until(load.run.now_ms + 2_500.0)
+        self.send_crashing(load, "after", "noord-1")
+        load.run.queue.run_until(load.run.now_ms + 300.0)
+        self.assertEqual(RefusalReason.QUARANTINED, answers["before-5"].reason)
+        self.assertIsInstance(answers["after"], NotRun)
+        self.assertEqual(RefusalReason.QUARANTINED, answers["after"].reason)
+        later = sum(upstream.crashes for upstream in load.run.upstreams.values())
+        self.assertEqual(crashes, later)
+
+    def collect_answers(self, load: CallerLoad) -> dict:
+        """Return a dictionary that gets the outcomes of the requests that are no stream's."""
+        answers = {}
+        handle_answer = load.run.on_answer
+
+        def collect(name, action, now_ms):
+            if action.request_id.startswith(("before", "after")):
+                answers[action.request_id] = action.outcome
+            else:
+                handle_answer(name, action, now_ms)
+
+        load.run.on_answer = collect
+        return answers
+
+    def send_crashing(self, load: CallerLoad, name: str, instance_id: str) -> None:
+        now_ms = load.run.now_ms
+        request = CallerRequest(name, "acme", "lookup", b'{"crash":1}', now_ms, now_ms + 200.0, 1.0)
+        load.run.deliver(instance_id, QueryArrived(request))
--- a/packages/geraniumlead/src/geraniumlead/instance/heartbeat_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/heartbeat_handler.py
@@ -39,6 +39,7 @@
             digest=parts.store.digest,
             stopping=parts.lifecycle.is_stopping,
             sent_ms=now_ms,
+            quarantine_digest=parts.quarantine.digest(now_ms),
         )
         targets = dict.fromkeys(parts.membership.next_heartbeat_targets(parts.random))
         targets |= dict.fromkeys(list(reports)[:MAX_INDIVIDUAL_REPORTS])
--- a/packages/geraniumlead/src/geraniumlead/instance/instance.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/instance.py
@@ -200,6 +200,7 @@
                 self._configuration.handle_liveness(sender_id, message, now_ms)
                 if isinstance(message, Heartbeat):
                     self.parts.admission.handle_demand(sender_id, message.demand, now_ms)
+                    self._requests.quarantine.handle_heartbeat(sender_id, message, now_ms)
             case DocumentsRequest():
                 self._configuration.send_documents(sender_id, message)
             case DocumentsUpdate():
--- a/packages/geraniumlead/src/geraniumlead/instance/quarantine_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/instance/quarantine_handler.py
@@ -1,8 +1,12 @@
 from geraniumlead.instance.parts import InstanceParts
-from geraniumlead.peer_messages import QuarantineNotice
+from geraniumlead.peer_messages import Heartbeat, QuarantineNotice
 from geraniumlead.quarantine import compute_fingerprint
 from geraniumlead.requests import CallerRequest, NotRun, RefusalReason
 
+MAX_REPEATED_NOTICES = 8
+"""Maximum number of quarantines that one heartbeat of a peer is answered with, the latest ones. A
+notice has some 60 bytes, and sixteen heartbeats come each half a second: 15 KB/s at most."""
+
 
 class QuarantineHandler:
     """Refuses quarantined requests and exchanges quarantines with peers."""
@@ -29,15 +33,31 @@
             notice.fingerprint, notice.upstream_id, notice.remaining_ms, now_ms
         )
 
+    def handle_heartbeat(self, sender_id: str, heartbeat: Heartbeat, now_ms: float) -> None:
+        """Tell a peer the quarantines if it has others.
+
+        Failure: an instance has started, or was cut off, since the quarantine was announced, and
+        the next request reaches it.
+        """
+        quarantine = self._parts.quarantine
+        if heartbeat.quarantine_digest == quarantine.digest(now_ms):
+            return
+        for fingerprint in quarantine.quarantined(now_ms)[:MAX_REPEATED_NOTICES]:
+            self._parts.send(sender_id, self._build_notice(fingerprint, "", now_ms))
+
     def notify_peers(self, now_ms: float) -> None:
         """Send every peer the quarantines that this instance began since the last call."""
         parts = self._parts
         for fingerprint, upstream_id in parts.quarantine.drain_notices():
-            notice = QuarantineNotice(
-                fingerprint=fingerprint,
-                strikes=parts.quarantine.strikes(fingerprint),
-                remaining_ms=parts.quarantine.remaining_ms(fingerprint, now_ms),
-                upstream_id=upstream_id,
-            )
+            notice = self._build_notice(fingerprint, upstream_id, now_ms)
             for instance_id in parts.membership.peers:
                 parts.send(instance_id, notice)
+
+    def _build_notice(self, fingerprint: int, upstream_id: str, now_ms: float) -> QuarantineNotice:
+        quarantine = self._parts.quarantine
+        return QuarantineNotice(
+            fingerprint=fingerprint,
+            strikes=quarantine.strikes(fingerprint),
+            remaining_ms=quarantine.remaining_ms(fingerprint, now_ms),
+            upstream_id=upstream_id,
+        )
--- a/packages/geraniumlead/src/geraniumlead/peer_messages/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peer_messages/messages.py
@@ -29,7 +29,8 @@
 
     ``platform_age_ms`` is how long ago the platform confirmed ``revision`` as current, and
     ``digest`` is a digest of the documents at that revision. A ``stopping`` sender takes no new
-    work. ``sent_ms`` is the sender's clock.
+    work. ``sent_ms`` is the sender's clock. ``quarantine_digest`` is the same for two instances
+    with the same quarantines.
     """
 
     incarnation: str
@@ -42,6 +43,7 @@
     digest: int = 0
     stopping: bool = False
     sent_ms: float | None = None
+    quarantine_digest: int = 0
 
 
 class Goodbye(Struct, frozen=True, array_like=True, tag="goodbye"):
--- a/packages/geraniumlead/src/geraniumlead/quarantine/quarantine_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/quarantine/quarantine_tracker.py
@@ -83,6 +83,23 @@
         suspicion = self._suspicions.get(fingerprint)
         return 0.0 if suspicion is None else max(0.0, suspicion.until_ms - now_ms)
 
+    def quarantined(self, now_ms: float) -> list[int]:
+        """Return the fingerprints that are quarantined now, the latest ones first."""
+        if now_ms >= self._latest_until_ms:
+            return []
+        return [
+            fingerprint
+            for fingerprint, suspicion in reversed(self._suspicions.items())
+            if suspicion.until_ms > now_ms
+        ]
+
+    def digest(self, now_ms: float) -> int:
+        """Return a number that two instances have in common if they have the same quarantines."""
+        found = 0
+        for fingerprint in self.quarantined(now_ms):
+            found ^= fingerprint
+        return found
+
     def refused_ms(self, fingerprint: int, now_ms: float) -> float:
         """Return how long new requests with the fingerprint are refused, or 0 if they are not."""
         suspicion = self._suspicions.get(fingerprint)
