Judge the part of a query that crashes one shard's upstreams on its own

Once any shard has answered, what was lost counts against the part that had it; a part that is refused is left out of the answer, and all else is served. The upstreams of the process test end each on their own: one of the two went on resetting connections while the other one restarted, which is no crash.

--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_crashing_request.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_crashing_request.py
@@ -32,16 +32,15 @@
         self.crashed_s: list[float] = []
         for upstream in self.first.pages:
             upstream.fault = UpstreamFault.RESET
-        self.task = asyncio.create_task(self.crash_upstreams())
-        self.addCleanup(self.task.cancel)
+            task = asyncio.create_task(self.crash(upstream))
+            self.addCleanup(task.cancel)
 
-    async def crash_upstreams(self) -> None:
-        """End each upstream that ran the request; it returns soon, under its old id."""
+    async def crash(self, upstream: StubUpstream) -> None:
+        """End an upstream each time it ran the request; it returns soon, under its old id."""
         while True:
-            for upstream in self.first.pages:
-                if upstream.ran:
-                    await self.restart(upstream)
-            await asyncio.sleep(0.01)
+            if upstream.ran:
+                await self.restart(upstream)
+            await asyncio.sleep(0.005)
 
     async def restart(self, upstream: StubUpstream) -> None:
         self.crashed_s.append(monotonic())
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
@@ -53,3 +53,8 @@
 def compute_fingerprint(method: str, host: str, target: str, body: bytes) -> int:
     """Return a hash that is the same for each repeat of a request, on every instance."""
     return xxh3_64_intdigest(f"{method} {host} {target}\n".encode() + body)
+
+
+def compute_part_fingerprint(fingerprint: int, service: str) -> int:
+    """Return a hash that is the same for each repeat of one shard's part of a query."""
+    return xxh3_64_intdigest(f"{fingerprint:x} {service}".encode())
--- a/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
@@ -2,8 +2,12 @@
 
 from dataclasses import dataclass, field
 
+from geraniumlead.crashes import Crash
 from geraniumlead.forwarding.deadline import Deadline
-from geraniumlead.forwarding.forwarded_request import ForwardedRequest
+from geraniumlead.forwarding.forwarded_request import (
+    ForwardedRequest,
+    compute_part_fingerprint,
+)
 from geraniumlead.forwarding.results import Completed
 from geraniumlead.published_upstreams import UpstreamRecord
 from geraniumlead.routes import FanOut, PublishedConfiguration, Route
@@ -36,7 +40,8 @@
     ``sent_to`` holds an entry for each attempt that may have arrived, including the attempts of a
     peer; None stands for an attempt whose upstream the peer did not name. ``is_delegated`` is set
     while a peer is responsible for the subrequest, and ``is_held`` while it waits for an answer of
-    another one, since the request may crash upstreams.
+    another one, since the request may crash upstreams. ``crashes`` holds the upstreams that were
+    lost under it.
     """
 
     request: "OpenRequest"
@@ -49,10 +54,16 @@
     is_delegated: bool = False
     is_held: bool = False
     is_reported: bool = False
+    crashes: list[Crash] = field(default_factory=list)
     answer: Completed | None = None
     failure: str | None = None
     failed_answer: Completed | None = None
 
+    @property
+    def part_fingerprint(self) -> int:
+        """Return a hash that is the same for each repeat of this part of the query."""
+        return compute_part_fingerprint(self.request.request.fingerprint, self.service)
+
     @property
     def is_settled(self) -> bool:
         """Return whether the subrequest has been answered or has failed."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -321,18 +321,31 @@
         self._log(open_request, reason, reply, now_ms)
 
     def _report_crashes(self, open_request: OpenRequest, now_ms: float) -> None:
-        """Let peers be told of the upstreams that were lost under a request without any answer.
+        """Let peers be told of the upstreams that were lost under a request, or a part of it.
 
         The peer that delegated it is told before it gets the reply, or it would send what is
         missing to the other upstreams.
         """
-        fingerprint = open_request.request.fingerprint
-        if open_request.answered or self.crashes.find(fingerprint) is None:
-            return
-        self.crashes.record_failed(fingerprint)
-        if open_request.request.is_delegated:
-            report = self.crashes.report(fingerprint, now_ms)
-            self.delegated.send_crashes(open_request, CrashReports(now_ms, (report,)))
+        crashed = self._find_crashed(open_request)
+        for fingerprint in crashed:
+            self.crashes.record_failed(fingerprint)
+        if crashed and open_request.request.is_delegated:
+            reports = tuple(self.crashes.report(fingerprint, now_ms) for fingerprint in crashed)
+            self.delegated.send_crashes(open_request, CrashReports(now_ms, reports))
+
+    def _find_crashed(self, open_request: OpenRequest) -> list[int]:
+        """Return the fingerprints of a request, or of its parts, that got no answer but crashes."""
+        if not self.crashes:
+            return []
+        if not open_request.answered:
+            found = [open_request.request.fingerprint]
+        else:
+            found = [
+                subrequest.part_fingerprint
+                for subrequest in open_request.subrequests
+                if subrequest.crashes and subrequest.answer is None
+            ]
+        return [fingerprint for fingerprint in found if self.crashes.find(fingerprint) is not None]
 
     def _cancel_all(self, open_request: OpenRequest, now_ms: float) -> None:
         for service in self._sender.cancel(open_request, now_ms):
--- a/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
@@ -64,6 +64,9 @@
         relative_rtts = self._tracker.relative_rtts
         max_relative_rtt_ms = self._tracker.max_relative_rtt_ms(open_request, now_ms)
         for subrequest in open_request.subrequests:
+            if self._is_part_refused(subrequest, now_ms):
+                open_request.settle_failed(subrequest, CRASHES_UPSTREAMS, now_ms)
+                continue
             upstream = None
             if not self._waiting.has(subrequest.service):
                 upstream = self._tracker.choose(subrequest, now_ms)
@@ -208,8 +211,7 @@
                 open_request.is_fan_out or open_request.route.is_idempotent
             ):
                 subrequest.may_have_run = True
-                if not open_request.answered:
-                    self._crashes.record_answered(open_request.request.fingerprint, now_ms)
+                self._record_answered(subrequest, now_ms)
                 if len(subrequest.tried) > 1 or now_ms > open_request.goal_ms:
                     what = f"answered after {now_ms - attempt.sent_ms:.0f} ms"
                     open_request.record_step(subrequest, upstream_id, what, now_ms)
@@ -231,7 +233,7 @@
                 reason = TOO_LATE
             case PossiblyExecuted(detail=detail, is_connection_lost=is_lost):
                 subrequest.may_have_run = True
-                if is_lost and not open_request.answered:
+                if is_lost:
                     self.record_lost(attempt, detail, now_ms)
                 reason = f"lost: {detail}"
         open_request.record_step(subrequest, upstream_id, reason, now_ms)
@@ -240,14 +242,47 @@
     def record_lost(
         self, attempt: Attempt, cause: str, now_ms: float, is_silent: bool = False
     ) -> None:
-        """Record that an upstream was lost under a request that none has answered yet."""
-        request, upstream = attempt.subrequest.request.request, attempt.upstream
+        """Record that an upstream was lost under a request, or under one part of a query.
+
+        As long as no shard of a query has answered, any part of it may be the cause. Afterwards it
+        can only be the part that the lost upstream had.
+        """
+        subrequest, upstream = attempt.subrequest, attempt.upstream
         process = hash_lost_process(upstream.upstream_id, upstream.started_ms, attempt.sent_ms)
         crash = Crash(process, attempt.sent_ms, now_ms, is_silent)
-        record = self._crashes.record_lost(request.fingerprint, crash, now_ms)
+        subrequest.crashes.append(crash)
+        request = subrequest.request.request
+        if not subrequest.request.answered:
+            record = self._crashes.record_lost(request.fingerprint, crash, now_ms)
+        elif subrequest.request.is_fan_out:
+            record = self._crashes.record_lost(subrequest.part_fingerprint, crash, now_ms)
+        else:
+            return
         if record is not None:
             self._actions.append(describe_strike(request, upstream, record, cause))
 
+    def _record_answered(self, subrequest: Subrequest, now_ms: float) -> None:
+        """Record an answer, which clears the request, and the part of the query that it is for.
+
+        Failure: a query crashes the upstreams of one shard, and is cleared by each other one. What
+        was lost before the first answer counts against the parts that had it.
+        """
+        open_request = subrequest.request
+        if not open_request.answered:
+            self._crashes.record_answered(open_request.request.fingerprint, now_ms)
+            for other in open_request.subrequests:
+                for crash in other.crashes if other is not subrequest else ():
+                    self._crashes.record_lost(other.part_fingerprint, crash, now_ms)
+        if open_request.is_fan_out and self._crashes:
+            part = subrequest.part_fingerprint
+            if self._crashes.find(part) is not None:
+                self._crashes.record_answered(part, now_ms)
+
+    def _is_part_refused(self, subrequest: Subrequest, now_ms: float) -> bool:
+        if not self._crashes or not subrequest.request.is_fan_out:
+            return False
+        return not self._crashes.may_start(subrequest.part_fingerprint, now_ms)
+
     def hedge_late(self, open_request: OpenRequest, now_ms: float) -> None:
         """Hedge the subrequests whose only attempt is late."""
         if open_request.is_hedged or self._may_crash_more(open_request):
@@ -301,7 +336,9 @@
             return
         open_request = subrequest.request
         is_repeatable = open_request.route.is_idempotent or not subrequest.may_have_run
-        if self._may_crash_more(open_request):
+        if subrequest.crashes and self._crashes.is_suspected(subrequest.part_fingerprint):
+            reason, is_repeatable = f"{reason}, {CRASHES_UPSTREAMS}", False
+        elif self._may_crash_more(open_request):
             if open_request.is_awaiting_answers:
                 # In a power failure a query loses several upstreams at once, and goes on when
                 # another one answers.
--- a/packages/geraniumlead/tests/core_tests/forwarding/crash_fleet.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/crash_fleet.py
@@ -94,13 +94,17 @@
 
 
 class CrashFleet:
-    """A fleet in three data centres, and upstreams that crash under a request."""
+    """A fleet in three data centres, and upstreams that crash under a request.
+
+    With ``crashing_service`` only the upstreams of that service crash.
+    """
 
     def __init__(self, instances: int, seed: int = 1, returns: Return = Return.NEW_ID) -> None:
         self.random = Random(seed)
         self.returns = returns
         self.fleet = FleetHarness([DATA_CENTRES[n % 3] for n in range(instances)])
         self.addresses = [address_of(number) for number in range(instances)]
+        self.crashing_service: str | None = None
         self.crashes_ms: list[float] = []
         self.tries: dict[str, Try] = {}
         self._read: dict[int, int] = defaultdict(int)
@@ -208,8 +212,11 @@
                 self._schedule(0.0, "end", member, attempt, REFUSED)
             return
         upstream.open_attempts.append((member, attempt))
-        self.tries[attempt.request.request_id].reached += 1
-        if attempt.request.path.endswith(CRASHING):
+        is_crash = attempt.request.path.endswith(CRASHING)
+        if self.crashing_service is not None:
+            is_crash = is_crash and upstream.record.service == self.crashing_service
+        self.tries[attempt.request.request_id].reached += is_crash
+        if is_crash:
             self._schedule(ARRIVAL_MS, "crash", upstream)
         else:
             self._schedule(WORK_MS, "answer", upstream, member, attempt)
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_crashing_fleet.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_crashing_fleet.py
@@ -48,6 +48,21 @@
         self.play(85, QUERY_PATH, Return.OLD_ID, tries=40)
         self.play(195, QUERY_PATH, Return.NEW_ID, tries=40)
 
+    def test_a_query_that_crashes_one_shard_is_answered_without_it(self):
+        """Guards against a query that is cleared by each shard that it does not crash."""
+        for returns in (Return.NEW_ID, Return.OLD_ID):
+            with self.subTest(returns=returns.name):
+                fleet = CrashFleet(7, returns=returns)
+                fleet.crashing_service = "shard-3"
+                play_crashing_request(fleet, QUERY_PATH, tries=80)
+                self.assertGreaterEqual(len(fleet.crashes_ms), 3)
+                self.assertLessEqual(len(fleet.late_tries()), MAX_LATE_TRIES)
+                self.assertEqual([], fleet.refusals(is_crashing=True))
+                self.assertEqual([], fleet.refusals(is_crashing=False))
+                for last in list(fleet.tries.values())[-30:]:
+                    reply = last.member.replies[last.key]
+                    self.assertEqual(int(last.is_crashing), reply.missing)
+
 
 class HarmlessRequestTests(TestCase):
     """Harmless requests are not refused, whatever ends their upstreams."""
