Split what is known of crashing requests by job, and keep its guard out of the sender

The test of a request's lines expected one line with its id; a lost upstream has a line of its own now, so the test names both, in order.

--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_platform_process.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_platform_process.py
@@ -166,6 +166,8 @@
         await self.platform.send_request(
             "/book/1", "POST", data=b"x", headers={"Request-Id": "r-lost"}
         )
-        (line,) = [line for line in self.platform.read_log() if line.get("request_id") == "r-lost"]
+        lines = [line for line in self.platform.read_log() if line.get("request_id") == "r-lost"]
+        self.assertEqual(["crash_strike", "request"], [line["event"] for line in lines])
+        line = lines[-1]
         self.assertEqual(("book", 502, 1), (line["route"], line["status"], line["version"]))
         self.assertIn("lost", line["steps"][0]["what"])
--- a/packages/geraniumlead/src/geraniumlead/crashes/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/crashes/__init__.py
@@ -4,6 +4,7 @@
 from geraniumlead.crashes.crash_record import Crash, CrashRecord
 from geraniumlead.crashes.crash_tracker import CrashTracker
 from geraniumlead.crashes.lost_processes import (
+    UnansweredAttempt,
     UnansweredAttempts,
     hash_lost_process,
     hash_process,
@@ -14,6 +15,7 @@
     "CrashGossip",
     "CrashRecord",
     "CrashTracker",
+    "UnansweredAttempt",
     "UnansweredAttempts",
     "hash_lost_process",
     "hash_process",
--- a/packages/geraniumlead/src/geraniumlead/forwarding/crash_log.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/crash_log.py
@@ -11,29 +11,27 @@
 
 
 def describe_strike(
-    request: ForwardedRequest, upstream: UpstreamRecord, record: CrashRecord, cause: str
+    request: ForwardedRequest,
+    fingerprint: int,
+    upstream: UpstreamRecord,
+    record: CrashRecord,
+    cause: str,
 ) -> LogDecision:
-    """Return the line of one upstream that was lost while it ran a request."""
+    """Return the line of an upstream that was lost under a request or a part of it."""
     fields = {
         "request_id": request.request_id,
         "is_delegated": request.is_delegated,
-        **describe_loss(request.fingerprint, upstream, record, cause),
+        **_describe_loss(fingerprint, upstream, record, cause),
     }
     return LogDecision("crash_strike", fields, "warning")
 
 
-def describe_loss(
+def describe_given_up(
     fingerprint: int, upstream: UpstreamRecord, record: CrashRecord, cause: str
-) -> dict:
-    """Return the fields of an upstream that was lost while it ran a request."""
-    return {
-        "fingerprint": format_fingerprint(fingerprint),
-        "service": upstream.service,
-        "upstream": upstream.upstream_id,
-        "cause": cause,
-        "strikes": len(record.all_crashes()),
-        "is_refused": record.is_quarantined,
-    }
+) -> LogDecision:
+    """Return the line of an upstream that was lost after a request to it had been given up."""
+    fields = _describe_loss(fingerprint, upstream, record, cause)
+    return LogDecision("crash_strike", fields, "warning")
 
 
 def describe_told(report: CrashReport, peer_ids: list[str]) -> LogDecision:
@@ -81,3 +79,16 @@
         "is_refused": report.quarantined_age_ms is not None,
         "is_answered": report.answered_age_ms is not None,
     }
+
+
+def _describe_loss(
+    fingerprint: int, upstream: UpstreamRecord, record: CrashRecord, cause: str
+) -> dict:
+    return {
+        "fingerprint": format_fingerprint(fingerprint),
+        "service": upstream.service,
+        "upstream": upstream.upstream_id,
+        "cause": cause,
+        "strikes": len(record.all_crashes()),
+        "is_refused": record.is_quarantined,
+    }
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -1,10 +1,10 @@
 from collections.abc import Sequence
 from random import Random
 
-from geraniumlead.crashes import Crash, CrashTracker
+from geraniumlead.crashes import CrashTracker
 from geraniumlead.forwarding.actions import ForwardingAction, LogDecision, SendReply
 from geraniumlead.forwarding.attempt_tracker import AttemptTracker, process_of
-from geraniumlead.forwarding.crash_log import describe_loss
+from geraniumlead.forwarding.crash_guard import LAPSED, CrashGuard
 from geraniumlead.forwarding.crash_refusal import refuse_crashing
 from geraniumlead.forwarding.delegated_subrequests import DelegatedSubrequests
 from geraniumlead.forwarding.delegation_planner import DelegationPlanner
@@ -26,9 +26,6 @@
 from geraniumlead.routes import PublishedConfiguration, Route
 from geraniumlead.settings.forwarding_settings import ForwardingSettings
 
-LAPSED = "entry lapsed"
-"""Cause of a loss that only the upstream's entry in the store has shown."""
-
 
 class RequestRunner:
     """Runs the open requests of this instance, and ends each with exactly one reply.
@@ -40,6 +37,7 @@
 
     __slots__ = (
         "_actions",
+        "_guard",
         "_open",
         "_retry_after",
         "_sender",
@@ -66,7 +64,8 @@
         self._upstream_view = upstream_view
         self._tracker = AttemptTracker(settings, upstream_view, random, actions)
         self.crashes = CrashTracker(settings.instance_id)
-        self._sender = SubrequestSender(self._tracker, self.crashes, actions)
+        self._guard = CrashGuard(self.crashes, actions)
+        self._sender = SubrequestSender(self._tracker, self._guard)
         planner = DelegationPlanner(settings, upstream_view, directory, random)
         self.delegated = DelegatedSubrequests(planner, self._sender, actions, directory.own_contact)
         self._open: dict[int, OpenRequest] = {}
@@ -144,15 +143,9 @@
         """Record the requests that a lost upstream process had and that none has answered."""
         process = process_of(upstream)
         for attempt in self._tracker.open_at(process):
-            if not attempt.subrequest.request.answered:
-                self._sender.record_lost(attempt, LAPSED, now_ms, is_silent=True)
+            self._guard.record_lost(attempt, LAPSED, now_ms, is_silent=True)
         for found in self._tracker.unanswered.pop(process, now_ms):
-            crash = Crash(process, found.sent_ms, found.ended_ms, is_silent=True)
-            record = self.crashes.record_lost(found.fingerprint, crash, now_ms)
-            if record is not None:
-                self.crashes.record_failed(found.fingerprint)
-                fields = describe_loss(found.fingerprint, upstream, record, LAPSED)
-                self._actions.append(LogDecision("crash_strike", fields, "warning"))
+            self._guard.record_silent(found, upstream, now_ms)
 
     def handle_delegated_reply(
         self, delegation: Delegation, reply: DelegatedReply, now_ms: float
@@ -326,27 +319,11 @@
         The peer that delegated it is told before it gets the reply, or it would send what is
         missing to the other upstreams.
         """
-        crashed = self._find_crashed(open_request)
-        for fingerprint in crashed:
-            self.crashes.record_failed(fingerprint)
+        crashed = self._guard.record_ended(open_request)
         if crashed and open_request.request.is_delegated:
             reports = tuple(self.crashes.report(fingerprint, now_ms) for fingerprint in crashed)
             self.delegated.send_crashes(open_request, CrashReports(now_ms, reports))
 
-    def _find_crashed(self, open_request: OpenRequest) -> list[int]:
-        """Return the fingerprints of a request, or of its parts, that got no answer but crashes."""
-        if not self.crashes:
-            return []
-        if not open_request.answered:
-            found = [open_request.request.fingerprint]
-        else:
-            found = [
-                subrequest.part_fingerprint
-                for subrequest in open_request.subrequests
-                if subrequest.crashes and subrequest.answer is None
-            ]
-        return [fingerprint for fingerprint in found if self.crashes.find(fingerprint) is not None]
-
     def _cancel_all(self, open_request: OpenRequest, now_ms: float) -> None:
         for service in self._sender.cancel(open_request, now_ms):
             self._send_waiting(service, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
@@ -1,9 +1,7 @@
 from collections.abc import Sequence
 
-from geraniumlead.crashes import Crash, CrashTracker, hash_lost_process
-from geraniumlead.forwarding.actions import ForwardingAction
 from geraniumlead.forwarding.attempt_tracker import AttemptTracker
-from geraniumlead.forwarding.crash_log import describe_strike
+from geraniumlead.forwarding.crash_guard import CrashGuard
 from geraniumlead.forwarding.crash_refusal import CRASHES_UPSTREAMS
 from geraniumlead.forwarding.open_request import Attempt, OpenRequest, Subrequest
 from geraniumlead.forwarding.results import (
@@ -40,14 +38,11 @@
     reach an upstream.
     """
 
-    __slots__ = ("_actions", "_crashes", "_tracker", "_waiting")
+    __slots__ = ("_guard", "_tracker", "_waiting")
 
-    def __init__(
-        self, tracker: AttemptTracker, crashes: CrashTracker, actions: list[ForwardingAction]
-    ) -> None:
-        self._actions = actions
+    def __init__(self, tracker: AttemptTracker, guard: CrashGuard) -> None:
         self._tracker = tracker
-        self._crashes = crashes
+        self._guard = guard
         self._waiting = WaitingSubrequests()
 
     def choose_upstreams(
@@ -58,13 +53,13 @@
         One whose upstream can't answer before the end of the request fails, too. Of a query that
         may crash upstreams only one subrequest is sent.
         """
-        if open_request.is_fan_out and self._crashes.is_suspected(open_request.request.fingerprint):
+        if open_request.is_fan_out and self._guard.may_crash_more(open_request):
             return self._choose_canary(open_request, now_ms)
         chosen: list[tuple[Subrequest, UpstreamRecord]] = []
         relative_rtts = self._tracker.relative_rtts
         max_relative_rtt_ms = self._tracker.max_relative_rtt_ms(open_request, now_ms)
         for subrequest in open_request.subrequests:
-            if self._is_part_refused(subrequest, now_ms):
+            if self._guard.is_part_refused(subrequest, now_ms):
                 open_request.settle_failed(subrequest, CRASHES_UPSTREAMS, now_ms)
                 continue
             upstream = None
@@ -131,7 +126,7 @@
             if upstream is None:
                 self._waiting.add(subrequest)
                 break
-            if self._may_crash_more(subrequest.request):
+            if self._guard.may_crash_more(subrequest.request):
                 subrequest.request.settle_failed(subrequest, CRASHES_UPSTREAMS, now_ms)
                 continue
             if not self._tracker.is_in_time(subrequest.request, upstream, now_ms):
@@ -152,7 +147,7 @@
         The attempts of the peer count towards the route's maximum number of upstreams: with a
         separate count here one request would reach twice as many.
         """
-        if self._may_crash_more(open_request):
+        if self._guard.may_crash_more(open_request):
             for subrequest in subrequests:
                 subrequest.is_held = True
             return
@@ -179,7 +174,7 @@
         If all of it were spent on one slow peer, subrequests that fail in the next seconds could
         not be retried.
         """
-        if subrequests and self._may_crash_more(subrequests[0].request):
+        if subrequests and self._guard.may_crash_more(subrequests[0].request):
             return
         budgets = self._tracker.budgets
         may_send = budgets.may_retry if is_overdue else budgets.may_hedge
@@ -211,7 +206,7 @@
                 open_request.is_fan_out or open_request.route.is_idempotent
             ):
                 subrequest.may_have_run = True
-                self._record_answered(subrequest, now_ms)
+                self._guard.record_answered(subrequest, now_ms)
                 if len(subrequest.tried) > 1 or now_ms > open_request.goal_ms:
                     what = f"answered after {now_ms - attempt.sent_ms:.0f} ms"
                     open_request.record_step(subrequest, upstream_id, what, now_ms)
@@ -234,58 +229,14 @@
             case PossiblyExecuted(detail=detail, is_connection_lost=is_lost):
                 subrequest.may_have_run = True
                 if is_lost:
-                    self.record_lost(attempt, detail, now_ms)
+                    self._guard.record_lost(attempt, detail, now_ms)
                 reason = f"lost: {detail}"
         open_request.record_step(subrequest, upstream_id, reason, now_ms)
         self._retry_or_fail(subrequest, result, reason, now_ms)
 
-    def record_lost(
-        self, attempt: Attempt, cause: str, now_ms: float, is_silent: bool = False
-    ) -> None:
-        """Record that an upstream was lost under a request, or under one part of a query.
-
-        As long as no shard of a query has answered, any part of it may be the cause. Afterwards it
-        can only be the part that the lost upstream had.
-        """
-        subrequest, upstream = attempt.subrequest, attempt.upstream
-        process = hash_lost_process(upstream.upstream_id, upstream.started_ms, attempt.sent_ms)
-        crash = Crash(process, attempt.sent_ms, now_ms, is_silent)
-        subrequest.crashes.append(crash)
-        request = subrequest.request.request
-        if not subrequest.request.answered:
-            record = self._crashes.record_lost(request.fingerprint, crash, now_ms)
-        elif subrequest.request.is_fan_out:
-            record = self._crashes.record_lost(subrequest.part_fingerprint, crash, now_ms)
-        else:
-            return
-        if record is not None:
-            self._actions.append(describe_strike(request, upstream, record, cause))
-
-    def _record_answered(self, subrequest: Subrequest, now_ms: float) -> None:
-        """Record an answer, which clears the request, and the part of the query that it is for.
-
-        Failure: a query crashes the upstreams of one shard, and is cleared by each other one. What
-        was lost before the first answer counts against the parts that had it.
-        """
-        open_request = subrequest.request
-        if not open_request.answered:
-            self._crashes.record_answered(open_request.request.fingerprint, now_ms)
-            for other in open_request.subrequests:
-                for crash in other.crashes if other is not subrequest else ():
-                    self._crashes.record_lost(other.part_fingerprint, crash, now_ms)
-        if open_request.is_fan_out and self._crashes:
-            part = subrequest.part_fingerprint
-            if self._crashes.find(part) is not None:
-                self._crashes.record_answered(part, now_ms)
-
-    def _is_part_refused(self, subrequest: Subrequest, now_ms: float) -> bool:
-        if not self._crashes or not subrequest.request.is_fan_out:
-            return False
-        return not self._crashes.may_start(subrequest.part_fingerprint, now_ms)
-
     def hedge_late(self, open_request: OpenRequest, now_ms: float) -> None:
         """Hedge the subrequests whose only attempt is late."""
-        if open_request.is_hedged or self._may_crash_more(open_request):
+        if open_request.is_hedged or self._guard.may_crash_more(open_request):
             return
         for subrequest in open_request.subrequests:
             if subrequest.is_settled or len(subrequest.open_attempts) != 1:
@@ -336,16 +287,15 @@
             return
         open_request = subrequest.request
         is_repeatable = open_request.route.is_idempotent or not subrequest.may_have_run
-        if subrequest.crashes and self._crashes.is_suspected(subrequest.part_fingerprint):
+        if self._guard.is_part_suspected(subrequest):
             reason, is_repeatable = f"{reason}, {CRASHES_UPSTREAMS}", False
-        elif self._may_crash_more(open_request):
+        elif self._guard.may_crash_more(open_request):
             if open_request.is_awaiting_answers:
                 # In a power failure a query loses several upstreams at once, and goes on when
                 # another one answers.
                 subrequest.is_held = True
                 return
-            is_quarantined = self._crashes.is_quarantined(open_request.request.fingerprint)
-            if is_quarantined or not isinstance(result, NotReached):
+            if self._guard.is_refused(open_request) or not isinstance(result, NotReached):
                 reason, is_repeatable = f"{reason}, {CRASHES_UPSTREAMS}", False
         if is_repeatable and now_ms < open_request.end_ms:
             is_free = isinstance(result, NotReached)
@@ -374,12 +324,6 @@
         else:
             self._tracker.resend(subrequest, upstream, reason, now_ms)
 
-    def _may_crash_more(self, open_request: OpenRequest) -> bool:
-        """Return whether a request is suspected of crashing upstreams, and none has answered it."""
-        if not self._crashes or open_request.answered:
-            return False
-        return self._crashes.is_suspected(open_request.request.fingerprint)
-
     def _is_lateness_common(self, open_request: OpenRequest, now_ms: float) -> bool:
         """Return whether lateness is common to a query's subrequests, so that none is a straggler.
 
--- a/packages/geraniumlead/tests/core_tests/crashes/test_crash_tracker.py
+++ b/packages/geraniumlead/tests/core_tests/crashes/test_crash_tracker.py
@@ -5,20 +5,15 @@
 
 from core_tests.crashes.builders import OTHER, REQUEST, build_crash, build_quarantined, tell
 from geraniumlead.crashes import CrashTracker
+from geraniumlead.crashes.answer_memory import PROVEN_MS
 from geraniumlead.crashes.crash_record import (
     CLOCK_SLACK_MS,
     PROBE_INTERVAL_MS,
     QUARANTINE_FACTOR,
     QUARANTINE_MS,
 )
-from geraniumlead.crashes.crash_tracker import (
-    CONFIRMATION_MS,
-    FORGET_AFTER_MS,
-    MAX_QUARANTINED,
-    MAX_SUSPECTS,
-    PROBE_SPREAD_MS,
-    PROVEN_MS,
-)
+from geraniumlead.crashes.crash_records import FORGET_AFTER_MS, MAX_QUARANTINED, MAX_SUSPECTS
+from geraniumlead.crashes.crash_tracker import CONFIRMATION_MS, PROBE_SPREAD_MS
 
 PROBE_MS = 1_000.0 + QUARANTINE_MS + PROBE_SPREAD_MS
 
