Spend nothing on crashing requests while none is suspected

A held subrequest stands in a list, the fingerprint is kept, nothing is looked up while no request is suspected, and an answer is told only to clear what peers know.

--- a/packages/geraniumlead/src/geraniumlead/crashes/crash_record.py
+++ b/packages/geraniumlead/src/geraniumlead/crashes/crash_record.py
@@ -63,7 +63,8 @@
     refused. ``probed_ms`` is when it was last sent although it is suspected or refused, by any
     instance of which that is known here, and ``failed_probes`` how often that crashed an upstream.
     ``told_by`` is the peer that told of the last change; None if it was noticed here. Crashes in
-    ``unconfirmed`` don't count yet: another request may be their cause.
+    ``unconfirmed`` don't count yet: another request may be their cause. ``is_shared`` is set once
+    peers know of the request, so that they have to be told of an answer.
     """
 
     crashes: dict[int, Crash] = field(default_factory=dict)
@@ -72,6 +73,7 @@
     probed_ms: float = NEVER_MS
     failed_probes: int = 0
     told_by: str | None = None
+    is_shared: bool = False
 
     @property
     def is_quarantined(self) -> bool:
--- a/packages/geraniumlead/src/geraniumlead/crashes/crash_records.py
+++ b/packages/geraniumlead/src/geraniumlead/crashes/crash_records.py
@@ -14,15 +14,17 @@
 class CrashRecords:
     """The records of the requests under which upstreams were lost, and which of them are refused.
 
-    ``digest`` is a number that two instances have in common if they refuse the same requests.
+    ``digest`` is a number that two instances have in common if they refuse the same requests, and
+    ``suspected`` holds the requests that are suspected or refused.
     """
 
-    __slots__ = ("_quarantined", "_suspects", "digest")
+    __slots__ = ("_quarantined", "_suspects", "digest", "suspected")
 
     def __init__(self) -> None:
         self._suspects: OrderedDict[int, CrashRecord] = OrderedDict()
         self._quarantined: OrderedDict[int, CrashRecord] = OrderedDict()
         self.digest = 0
+        self.suspected: set[int] = set()
 
     def __len__(self) -> int:
         """Return the number of records."""
@@ -50,9 +52,18 @@
         if record is None:
             record = self._suspects[fingerprint] = CrashRecord()
             if len(self._suspects) > MAX_SUSPECTS:
-                self._suspects.popitem(last=False)
+                oldest, _ = self._suspects.popitem(last=False)
+                self.suspected.discard(oldest)
         return record
 
+    def update(self, fingerprint: int) -> None:
+        """Note whether a request is suspected, after its crashes have changed."""
+        record = self.find(fingerprint)
+        if record is not None and record.is_suspected:
+            self.suspected.add(fingerprint)
+        else:
+            self.suspected.discard(fingerprint)
+
     def refresh(self, fingerprint: int) -> None:
         """Mark a record as the last one that changed."""
         records = self._quarantined if fingerprint in self._quarantined else self._suspects
@@ -64,12 +75,14 @@
         record = self._suspects.pop(fingerprint, None) or CrashRecord()
         record.quarantined_ms = quarantined_ms
         self._quarantined[fingerprint] = record
+        self.suspected.add(fingerprint)
         self.digest ^= fingerprint
         self._forget_oldest(now_ms)
         return record
 
     def remove(self, fingerprint: int) -> bool:
         """Remove the record of a request; return False if there is none."""
+        self.suspected.discard(fingerprint)
         if self._suspects.pop(fingerprint, None) is not None:
             return True
         if self._quarantined.pop(fingerprint, None) is None:
@@ -81,13 +94,14 @@
         """Remove the record of a request that is not refused and has no crash left."""
         record = self._suspects.get(fingerprint)
         if record is not None and record.is_empty:
-            del self._suspects[fingerprint]
+            self.remove(fingerprint)
 
     def withdraw(self, fingerprint: int, process: int) -> None:
         """Remove the crash of a process from a request that did not cause it."""
         record = self._suspects.get(fingerprint)
         if record is not None:
             record.withdraw(process)
+            self.update(fingerprint)
             self.remove_if_empty(fingerprint)
 
     def _forget_oldest(self, now_ms: float) -> None:
--- a/packages/geraniumlead/src/geraniumlead/crashes/crash_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/crashes/crash_tracker.py
@@ -15,6 +15,8 @@
 """Time over which instances are spread at the end of a quarantine, so that hardly two of them send
 the request at the same moment."""
 
+NEVER_MS = float("inf")
+
 CONFIRMATION_MS = 500.0
 """Time after which peers have told of the requests that a lost upstream had."""
 
@@ -57,10 +59,14 @@
         """Return what is known of a request; None if no upstream was lost under it."""
         return self._records.find(fingerprint)
 
+    @property
+    def has_suspected(self) -> bool:
+        """Return whether any request is suspected or refused."""
+        return bool(self._records.suspected)
+
     def is_suspected(self, fingerprint: int) -> bool:
         """Return whether upstreams should be risked for a request only one at a time."""
-        record = self._records.find(fingerprint)
-        return record is not None and record.is_suspected
+        return fingerprint in self._records.suspected
 
     def is_quarantined(self, fingerprint: int) -> bool:
         """Return whether a request is refused."""
@@ -81,10 +87,10 @@
         A refused one is sent once more after its quarantine. Peers are told of it, so that no other
         instance does the same.
         """
-        record = self._records.find(fingerprint)
-        if record is None or not record.is_suspected:
+        if not self.is_suspected(fingerprint):
             return True
-        if now_ms < record.refused_until_ms:
+        record = self._records.find(fingerprint)
+        if record is None or now_ms < record.refused_until_ms:
             return False
         if record.is_quarantined:
             if now_ms < record.refused_until_ms + self._probe_delay_ms(fingerprint):
@@ -117,7 +123,11 @@
     def record_answered(self, fingerprint: int, now_ms: float) -> None:
         """Record that an upstream answered a request, which clears it."""
         self._answers.record(fingerprint, now_ms)
-        if self._records.remove(fingerprint):
+        record = self._records.find(fingerprint)
+        if record is None:
+            return
+        self._records.remove(fingerprint)
+        if record.is_shared:
             self._changed[fingerprint] = None
 
     def report(self, fingerprint: int, now_ms: float) -> CrashReport:
@@ -168,12 +178,15 @@
             if record is not None:
                 self._drop_explained(fingerprint, record, now_ms)
                 record.confirm()
+                self._records.update(fingerprint)
                 self._check(fingerprint, record, now_ms)
                 self._records.remove_if_empty(fingerprint)
 
     def next_wake_ms(self) -> float:
         """Return when ``wake`` has to be called."""
-        return min((due_ms for due_ms, _ in self._checks), default=float("inf"))
+        if not self._checks:
+            return NEVER_MS
+        return min(due_ms for due_ms, _ in self._checks)
 
     def _merge_answer(self, report: CrashReport, now_ms: float) -> bool:
         """Merge an answer; return whether it clears anything here."""
@@ -195,6 +208,7 @@
                 return False
             return self._records.remove(fingerprint)
         record.drop_until(cleared_until_ms)
+        self._records.update(fingerprint)
         self._records.remove_if_empty(fingerprint)
         return True
 
@@ -217,6 +231,7 @@
         if report.failed_probes > record.failed_probes:
             is_new = True
             record.failed_probes = report.failed_probes
+        record.is_shared = True
         if is_new:
             record.told_by = sender_id
         record.quarantined_ms = max(record.quarantined_ms, quarantined_ms)
@@ -228,7 +243,7 @@
         record = self._records.find_or_add(fingerprint)
         if not self._add(fingerprint, record, crash, now_ms):
             return False
-        record.told_by = sender_id
+        record.told_by, record.is_shared = sender_id, True
         return True
 
     def _add(self, fingerprint: int, record: CrashRecord, crash: Crash, now_ms: float) -> bool:
@@ -241,6 +256,7 @@
         if not record.add(crash, is_confirmed=not (crash.is_silent or is_proven)):
             return False
         record.drop_until(now_ms - CRASH_LIFETIME_MS)
+        self._records.update(fingerprint)
         self._check(fingerprint, record, now_ms)
         return True
 
@@ -309,6 +325,9 @@
     def _mark_changed(self, fingerprint: int) -> None:
         self._changed[fingerprint] = None
         self._records.refresh(fingerprint)
+        record = self._records.find(fingerprint)
+        if record is not None:
+            record.is_shared = True
 
     def _probe_delay_ms(self, fingerprint: int) -> float:
         """Return how much later than allowed this instance sends one more try."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/crash_guard.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/crash_guard.py
@@ -29,7 +29,7 @@
 
     def may_crash_more(self, open_request: OpenRequest) -> bool:
         """Return whether a request is suspected of crashing upstreams, and none has answered it."""
-        if not self.tracker or open_request.answered:
+        if not self.tracker.has_suspected or open_request.answered:
             return False
         return self.tracker.is_suspected(open_request.request.fingerprint)
 
@@ -39,7 +39,7 @@
 
     def is_part_refused(self, subrequest: Subrequest, now_ms: float) -> bool:
         """Return whether a part of a query must not be sent."""
-        if not self.tracker or not subrequest.request.is_fan_out:
+        if not self.tracker.has_suspected or not subrequest.request.is_fan_out:
             return False
         return not self.tracker.may_start(subrequest.part_fingerprint, now_ms)
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
@@ -1,4 +1,4 @@
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from xxhash import xxh3_64_intdigest
 
@@ -33,6 +33,7 @@
     waited_ms: float = 0.0
     goal_left_ms: float | None = None
     shards: tuple[str, ...] = ()
+    _fingerprint: int | None = field(default=None, repr=False, compare=False)
 
     @property
     def began_ms(self) -> float:
@@ -42,7 +43,9 @@
     @property
     def fingerprint(self) -> int:
         """Return a hash that is the same for each repeat of the request by any caller."""
-        return compute_fingerprint(self.method, self.host, self.target, self.body)
+        if self._fingerprint is None:
+            self._fingerprint = compute_fingerprint(self.method, self.host, self.target, self.body)
+        return self._fingerprint
 
     @property
     def is_delegated(self) -> bool:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
@@ -92,6 +92,7 @@
     answered: int = 0
     extra_attempts: int = 0
     delegations: set[int] = field(default_factory=set)
+    held: list[Subrequest] = field(default_factory=list)
     is_reported: bool = False
     is_hedged: bool = False
     steps: list[dict] = field(default_factory=list)
@@ -172,10 +173,18 @@
             subrequest.open_attempts or subrequest.is_waiting for subrequest in self.subrequests
         )
 
-    @property
-    def held(self) -> list[Subrequest]:
-        """Return the subrequests that wait for the answer of another one."""
-        return [subrequest for subrequest in self.subrequests if subrequest.is_held]
+    def hold(self, subrequest: Subrequest) -> None:
+        """Let a subrequest wait for the answer of another one."""
+        if not subrequest.is_held:
+            subrequest.is_held = True
+            self.held.append(subrequest)
+
+    def pop_held(self) -> list[Subrequest]:
+        """Return the subrequests that wait for the answer of another one; they wait no longer."""
+        held, self.held = self.held, []
+        for subrequest in held:
+            subrequest.is_held = False
+        return held
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -135,7 +135,7 @@
 
     def _must_refuse(self, request: ForwardedRequest, now_ms: float) -> bool:
         """Return whether a caller's request has to be refused since it crashes upstreams."""
-        if request.is_delegated or not self.crashes:
+        if request.is_delegated or not self.crashes.has_suspected:
             return False
         return not self.crashes.may_start(request.fingerprint, now_ms)
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
@@ -90,7 +90,8 @@
             upstream = self._tracker.choose_in_time(canary, now_ms)
             if upstream is not None:
                 for subrequest in subrequests:
-                    subrequest.is_held = subrequest is not canary
+                    if subrequest is not canary:
+                        open_request.hold(subrequest)
                 return [(canary, upstream)]
         for subrequest in subrequests:
             open_request.settle_failed(subrequest, NO_UPSTREAM, now_ms)
@@ -98,15 +99,13 @@
 
     def resolve_held(self, open_request: OpenRequest, now_ms: float) -> None:
         """Send the held subrequests of a query once any was answered; fail them if none can be."""
-        held = open_request.held
-        if not held or (not open_request.answered and open_request.is_awaiting_answers):
+        if not open_request.held:
             return
-        for subrequest in held:
-            subrequest.is_held = False
-            if not open_request.answered:
-                open_request.settle_failed(subrequest, HELD_BACK, now_ms)
         if open_request.answered:
-            self.send_unanswered(open_request, held, HELD_BACK, now_ms)
+            self.send_unanswered(open_request, open_request.pop_held(), HELD_BACK, now_ms)
+        elif not open_request.is_awaiting_answers:
+            for subrequest in open_request.pop_held():
+                open_request.settle_failed(subrequest, HELD_BACK, now_ms)
 
     def record_first(self, open_request: OpenRequest, now_ms: float) -> None:
         """Count the first attempts of the subrequests that this instance sends itself.
@@ -149,7 +148,7 @@
         """
         if self._guard.may_crash_more(open_request):
             for subrequest in subrequests:
-                subrequest.is_held = True
+                open_request.hold(subrequest)
             return
         for subrequest in subrequests:
             is_too_late = open_request.has_enough and now_ms >= open_request.goal_ms
@@ -293,7 +292,7 @@
             if open_request.is_awaiting_answers:
                 # In a power failure a query loses several upstreams at once, and goes on when
                 # another one answers.
-                subrequest.is_held = True
+                open_request.hold(subrequest)
                 return
             if self._guard.is_refused(open_request) or not isinstance(result, NotReached):
                 reason, is_repeatable = f"{reason}, {CRASHES_UPSTREAMS}", False
--- a/packages/geraniumlead/tests/core_tests/crashes/test_crash_tracker.py
+++ b/packages/geraniumlead/tests/core_tests/crashes/test_crash_tracker.py
@@ -130,6 +130,18 @@
                 self.assertTrue(receiver.may_start(REQUEST, 1_300.0))
                 self.assertEqual(0, receiver.digest)
 
+    def test_an_answer_is_told_only_to_clear_what_peers_know(self):
+        """Guards against a broadcast for each connection that breaks and is made good at once."""
+        tracker = CrashTracker()
+        tracker.record_lost(REQUEST, build_crash(1, 0.0), 10.0)
+        tracker.record_answered(REQUEST, 40.0)
+        self.assertEqual([], tracker.drain_changed())
+        tracker.record_lost(REQUEST, build_crash(2, 1_000.0), 1_010.0)
+        tracker.record_failed(REQUEST)
+        tracker.drain_changed()
+        tracker.record_answered(REQUEST, 2_000.0)
+        self.assertEqual([REQUEST], tracker.drain_changed())
+
     def test_crashes_after_an_answer_count(self):
         receiver = CrashTracker()
         receiver.record_answered(REQUEST, 0.0)
