Clear a query of its crashes when a peer passes on an answer

A query that lost an upstream here and was answered by way of a peer kept its strike: only answers of upstreams that this instance had asked itself cleared it, and the peer, which had lost nothing, told nobody. Popular queries of a region whose shards lie elsewhere would have gathered strikes until they were suspected (test_crash_reporter, red before).

--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegated_subrequests.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegated_subrequests.py
@@ -66,6 +66,7 @@
                 # subrequest gets them. They replace the answer of any shard that was queried
                 # from here as well.
                 answer = Completed(OK, (), records, signature)
+                self._sender.record_peer_answer(subrequest, now_ms)
                 delegation.open_request.settle_answered(subrequest, answer)
                 self._sender.cancel_subrequest(subrequest, now_ms)
                 records = b""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
@@ -188,6 +188,10 @@
         """Cancel the attempts of a subrequest that a peer has answered."""
         self._tracker.cancel(subrequest, now_ms)
 
+    def record_peer_answer(self, subrequest: Subrequest, now_ms: float) -> None:
+        """Record that an upstream has answered a subrequest at a peer."""
+        self._guard.record_answered(subrequest, now_ms)
+
     def record_peer_attempts(
         self, subrequest: Subrequest, upstream_ids: Sequence[str | None]
     ) -> None:
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_crash_reporter.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_crash_reporter.py
@@ -79,6 +79,16 @@
         self.pair.deliver()
         self.assertEqual(started, len(self.near.started))
 
+    def test_an_answer_that_a_peer_passes_on_clears_the_request_here(self):
+        """Guards against strikes of a query that is answered, but always by way of a peer."""
+        (attempt,) = self.near.ask(1)
+        self.near.end(attempt, LOST)
+        self.pair.deliver()
+        for started in list(self.far.started):
+            self.far.end(started, build_answer(b"x" * 16, signature=started.upstream.service))
+        self.pair.deliver()
+        self.assertIsNone(self.near.forwarder._runner.crashes.find(attempt.request.fingerprint))
+
     def test_an_answer_at_one_instance_releases_the_request_at_the_other(self):
         attempts = self.near.ask(1)
         fingerprint = attempts[0].request.fingerprint
