--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
@@ -127,11 +127,14 @@
 
     def next_wake_ms(self) -> float:
         """Return when ``handle`` needs TimePassed, unless another event comes first."""
-        return min(
+        wake_ms = min(
             self._runner.next_wake_ms(),
             self.published.next_wake_ms(),
             self._peers.next_wake_ms(),
         )
+        if self._is_informed:
+            return wake_ms
+        return min(wake_ms, self._peers.directory.informed_ms())
 
     def stop(self, now_ms: float) -> list[ForwardingAction]:
         """Become not ready and notify peers; open requests continue."""
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -27,8 +27,10 @@
 STARTUP_MS = 4_000.0
 """Time after a start in which ASSUMED_START_INSTANCES applies; the seeds may be stale for 3 s."""
 
-INFORMED_AFTER_MS = 500.0
-"""Longest time for which an instance that has just started waits for the first hello of a peer."""
+INFORMED_AFTER_MS = 50.0
+"""Longest time for which an instance that has just started waits for the first hello of a peer. One
+of its region replies within some milliseconds. When a whole fleet starts, nobody can reply, and
+callers wait for each instance."""
 
 MAX_GOODBYES = 40
 """Largest number of peers that get a goodbye."""
@@ -105,7 +107,11 @@
         refuse. It doesn't wait long, since the whole fleet may be starting.
         """
         is_alone = not self._seeds
-        return is_alone or self._has_heard_peer or now_ms - self._started_ms >= INFORMED_AFTER_MS
+        return is_alone or self._has_heard_peer or now_ms >= self.informed_ms()
+
+    def informed_ms(self) -> float:
+        """Return when an instance stops waiting for the first hello of a peer."""
+        return self._started_ms + INFORMED_AFTER_MS
 
     def is_live(self, peer: KnownPeer, now_ms: float) -> bool:
         """Return whether a peer sent a hello or was named lately, and has not sent a goodbye."""
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_crash_reporter.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_crash_reporter.py
@@ -173,6 +173,6 @@
     def test_a_new_instance_without_peers_does_not_wait_long(self):
         """Guards against a fleet that starts at once, or seeds that are gone."""
         harness = self.build(seeds=("10.2.0.1:1",))
-        harness.run_until(INFORMED_AFTER_MS + 300.0)
+        harness.run_until(INFORMED_AFTER_MS)
         self.assertTrue(harness.forwarder.is_ready)
         self.assertTrue(self.build(seeds=()).forwarder.is_ready)
