--- a/packages/geraniumlead/src/geraniumlead/crashes/answer_memory.py
+++ b/packages/geraniumlead/src/geraniumlead/crashes/answer_memory.py
@@ -1,6 +1,6 @@
 from collections import OrderedDict
 
-from geraniumlead.crashes.crash_record import CLOCK_SLACK_MS, NEVER_MS
+from geraniumlead.crashes.crash_record import CLOCK_SLACK_MS, LONG_AGO_MS
 
 MAX_REQUESTS = 5_000
 """Number of requests of which the last answer is kept, the latest ones; some hundred bytes each."""
@@ -30,8 +30,8 @@
 
     def is_proven(self, fingerprint: int, now_ms: float) -> bool:
         """Return whether a request was answered not too long ago."""
-        return now_ms - self._answered_ms.get(fingerprint, NEVER_MS) <= PROVEN_MS
+        return now_ms - self._answered_ms.get(fingerprint, LONG_AGO_MS) <= PROVEN_MS
 
     def cleared_until_ms(self, fingerprint: int) -> float:
         """Return until when what upstreams were lost under a request doesn't count."""
-        return self._answered_ms.get(fingerprint, NEVER_MS) + CLOCK_SLACK_MS
+        return self._answered_ms.get(fingerprint, LONG_AGO_MS) + CLOCK_SLACK_MS
--- a/packages/geraniumlead/src/geraniumlead/crashes/crash_record.py
+++ b/packages/geraniumlead/src/geraniumlead/crashes/crash_record.py
@@ -1,6 +1,7 @@
 from dataclasses import dataclass, field
 
-NEVER_MS = float("-inf")
+LONG_AGO_MS = float("-inf")
+"""The time of what has never happened."""
 
 MAX_CRASHES = 3
 """Upstream processes lost under a request, without a single answer, from which on it is suspected.
@@ -70,7 +71,7 @@
     crashes: dict[int, Crash] = field(default_factory=dict)
     unconfirmed: dict[int, Crash] = field(default_factory=dict)
     quarantined_ms: float | None = None
-    probed_ms: float = NEVER_MS
+    probed_ms: float = LONG_AGO_MS
     failed_probes: int = 0
     told_by: str | None = None
     is_shared: bool = False
@@ -88,8 +89,8 @@
     @property
     def crashed_ms(self) -> float:
         """Return when the last crash was noticed."""
-        lost_ms = max((crash.lost_ms for crash in self.crashes.values()), default=NEVER_MS)
-        return max(lost_ms, self.quarantined_ms or NEVER_MS)
+        lost_ms = max((crash.lost_ms for crash in self.crashes.values()), default=LONG_AGO_MS)
+        return lost_ms if self.quarantined_ms is None else max(lost_ms, self.quarantined_ms)
 
     @property
     def refused_until_ms(self) -> float:
@@ -145,7 +146,7 @@
 
     def count_independent(self) -> int:
         """Return how many crashes are not part of the same outage as the one before."""
-        count, last_ms = 0, NEVER_MS
+        count, last_ms = 0, LONG_AGO_MS
         for crash in sorted(self.crashes.values(), key=lambda crash: crash.lost_ms):
             if crash.sent_ms >= last_ms + INDEPENDENT_AFTER_MS:
                 count, last_ms = count + 1, crash.lost_ms
--- a/packages/geraniumlead/src/geraniumlead/crashes/crash_reports.py
+++ b/packages/geraniumlead/src/geraniumlead/crashes/crash_reports.py
@@ -1,6 +1,6 @@
 """Convert what is known of a request to a report for peers, with ages in place of times."""
 
-from geraniumlead.crashes.crash_record import NEVER_MS, Crash, CrashRecord
+from geraniumlead.crashes.crash_record import LONG_AGO_MS, Crash, CrashRecord
 from geraniumlead.peering.messages import CrashReport
 
 
@@ -37,6 +37,6 @@
 
 def _age_ms(time_ms: float | None, now_ms: float) -> int | None:
     """Return how long ago a time was; None for never."""
-    if time_ms is None or time_ms == NEVER_MS:
+    if time_ms is None or time_ms == LONG_AGO_MS:
         return None
     return max(0, round(now_ms - time_ms))
