Let the process test wait until a new process has been told

A new process waits 50 ms for its peers, so under load its first request may come before they reply, and the test's verdict depended on the machine. It now waits, for five seconds at the most, until the log of the new process shows that a peer told it, and then expects three refusals as before.

--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_crashing_request.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_crashing_request.py
@@ -15,6 +15,8 @@
 
 MAX_LATE_TRIES = 3
 PLAY_S = 9.0
+MAX_TELLING_S = 5.0
+"""Time within which a new process has to be told of the request, as all peers that are in touch."""
 
 
 class CrashingRequestTests(IsolatedAsyncioTestCase):
@@ -60,6 +62,10 @@
         self.late_tries += is_late and len(self.crashed_s) > crashes
         return status
 
+    def count_notices(self) -> int:
+        """Return how often a peer told the second instance what was new to it."""
+        return [line["event"] for line in self.second.read_log()].count("crash_notice")
+
     async def test_two_upstreams_that_return_under_their_ids_are_not_crashed_for_ever(self):
         """Guards against strikes that two upstreams never make three of, and a new process."""
         self.late_tries = 0
@@ -70,7 +76,11 @@
             await self.send((self.first, self.second)[number % 2])
             await asyncio.sleep(TRY_INTERVAL_S)
         await self.second.stop_daemon()
+        told = self.count_notices()
         await self.second.start_daemon()
+        async with asyncio.timeout(MAX_TELLING_S):
+            while self.count_notices() == told:
+                await asyncio.sleep(0.01)
         statuses = [await self.send(self.second) for _ in range(3)]
         self.assertGreaterEqual(len(self.crashed_s), 3)
         self.assertLessEqual(self.late_tries, MAX_LATE_TRIES)
