--- a/packages/geraniumlead/tests/core_tests/forwarding/crash_fleet.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/crash_fleet.py
@@ -289,6 +289,7 @@
     cut_share: float = 0.05,
     cut_ms: float = 8_000.0,
     cut_rest_ms: float = 2_000.0,
+    interval_ms: float = TRY_INTERVAL_MS,
 ) -> None:
     """Send a crashing request at random instances, beside harmless ones.
 
@@ -315,8 +316,8 @@
             fleet.restart(address)
             fleet.run_for(TRY_INTERVAL_MS)
         fleet.ask(address, path + CRASHING)
-        until_ms = fleet.fleet.now_ms + TRY_INTERVAL_MS
+        until_ms = fleet.fleet.now_ms + interval_ms
         for harmless in (POPULAR, f"other-{number}"):
-            fleet.run_for(random.uniform(0.0, TRY_INTERVAL_MS / 2.0))
+            fleet.run_for(random.uniform(0.0, interval_ms / 2.0))
             fleet.ask(random.choice(fleet.addresses), path + harmless)
         fleet.run_until(until_ms)
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_crashing_fleet.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_crashing_fleet.py
@@ -48,6 +48,18 @@
         self.play(85, QUERY_PATH, Return.OLD_ID, tries=40)
         self.play(195, QUERY_PATH, Return.NEW_ID, tries=40)
 
+    def test_a_request_that_comes_seldom_is_refused_after_few_tries(self):
+        """Guards against a request whose crashes are forgotten before the next one comes."""
+        for path in (SINGLE_PATH, QUERY_PATH):
+            with self.subTest(path=path):
+                fleet = CrashFleet(7)
+                play_crashing_request(fleet, path, 10, interval_ms=6_000.0)
+                self.assertGreaterEqual(len(fleet.crashes_ms), 3)
+                self.assertLessEqual(len(fleet.late_tries()), MAX_LATE_TRIES)
+                self.assertEqual([], fleet.refusals(is_crashing=False))
+                self.assertTrue(list(fleet.tries.values())[-3].is_crashing)
+                self.assertEqual("crashes_upstreams", list(fleet.tries.values())[-3].reason)
+
     def test_a_query_that_crashes_one_shard_is_answered_without_it(self):
         """Guards against a query that is cleared by each shard that it does not crash."""
         for returns in (Return.NEW_ID, Return.OLD_ID):
