Don't hold up a proven request that is only suspected

The popular query was suspected, and its tries were held 250 ms apart, since its instance did not know yet which other queries took part in its crashes: reports name the first crashes only.

--- a/packages/geraniumlead/src/geraniumlead/crashes/crash_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/crashes/crash_tracker.py
@@ -84,13 +84,18 @@
         """Return whether a new try of a request may be sent.
 
         A suspected request is sent again when its loss would tell something new, one try at a time.
-        A refused one is sent once more after its quarantine. Peers are told of it, so that no other
-        instance does the same.
+        One that is proven is not held up: in a flood of crashing requests it is suspected time and
+        again, until it is known which others took part in its crashes. A refused one is sent once
+        more after its quarantine. Peers are told of it, so that no other instance does the same.
         """
         if not self.is_suspected(fingerprint):
             return True
         record = self._records.find(fingerprint)
-        if record is None or now_ms < record.refused_until_ms:
+        if record is None:
+            return True
+        if not record.is_quarantined and self._answers.is_proven(fingerprint, now_ms):
+            return True
+        if now_ms < record.refused_until_ms:
             return False
         if record.is_quarantined:
             if now_ms < record.refused_until_ms + self._probe_delay_ms(fingerprint):
--- a/packages/geraniumlead/tests/core_tests/crashes/test_crash_tracker.py
+++ b/packages/geraniumlead/tests/core_tests/crashes/test_crash_tracker.py
@@ -80,6 +80,16 @@
             tracker.wake(at_ms + 10.0 + CONFIRMATION_MS)
         self.assertIsNone(tracker.find(REQUEST))
 
+    def test_a_proven_request_that_is_only_suspected_is_not_held_up(self):
+        """Guards against a popular request that is refused while its crashes are not explained."""
+        tracker = CrashTracker()
+        tracker.record_answered(REQUEST, 0.0)
+        for process in (1, 2, 3):
+            tracker.record_lost(REQUEST, build_crash(process, 1_000.0), 1_010.0)
+        tracker.wake(1_010.0 + CONFIRMATION_MS)
+        self.assertTrue(tracker.is_suspected(REQUEST))
+        self.assertTrue(tracker.may_start(REQUEST, 1_010.0 + CONFIRMATION_MS))
+
     def test_requests_sent_to_an_upstream_that_is_already_silent_are_no_cause(self):
         """Guards against requests that are blamed since a silent upstream's entry lapses late."""
         tracker = CrashTracker()
--- a/packages/geraniumlead/tests/core_tests/forwarding/crash_fleet.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/crash_fleet.py
@@ -241,7 +241,7 @@
     def _answer(self, upstream: Upstream, member: ForwarderHarness, attempt: StartAttempt) -> None:
         if (member, attempt) in upstream.open_attempts:
             upstream.open_attempts.remove((member, attempt))
-            body = bytes([attempt.upstream.service.__hash__() % 250]) * 16
+            body = attempt.upstream.service.encode().rjust(16, b"0")
             self._end(member, attempt, build_answer(body, signature=attempt.upstream.service))
 
     def _crash(self, upstream: Upstream) -> None:
