--- a/packages/geraniumlead/tests/core_tests/forwarding/test_crash_reporter.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_crash_reporter.py
@@ -154,6 +154,7 @@
         (outgoing,) = self.actions
         self.assertEqual(100, outgoing.message.reports[0].answered_age_ms)
 
+    def test_a_peer_that_suspects_a_popular_request_is_told_of_its_answer(self):
         """Guards against an instance that never had a popular request and blames it for a crash."""
         tracker = CrashTracker()
         tracker.record_answered(REQUEST, 0.0)
