Name the parts of what is known of crashing requests apart, and type its news and reports

Read as a newcomer: crash_record, crash_records, crash_report, crash_reports and crash_reporter differed by letters. The records are a registry now, the conversion of reports is named so, news and its rounds and the lost processes in a report are types in place of bare tuples, and the tests of one instance's crashing requests are no second test_crash_tracker.

--- a/packages/geraniumlead/src/geraniumlead/crashes/crash_gossip.py
+++ b/packages/geraniumlead/src/geraniumlead/crashes/crash_gossip.py
@@ -2,6 +2,8 @@
 from collections.abc import Mapping, Sequence
 from random import Random
 
+from geraniumlead.crashes.news import News, NewsRound
+
 NEVER_MS = float("inf")
 
 ROUND_MS = 250.0
@@ -48,44 +50,49 @@
         self._own: set[int] = set()
         self._next_round_ms = float("-inf")
 
-    def add(self, fingerprint: int, is_own: bool) -> None:
-        """Add a request of which something new is known; it is told in the next rounds.
-
-        ``is_own`` is set if no peer has told it.
-        """
-        if is_own:
-            self._own.add(fingerprint)
-        self._rounds_left[fingerprint] = ROUNDS
-        self._rounds_left.move_to_end(fingerprint)
+    def add(self, news: News) -> None:
+        """Add a request of which something new is known; it is told in the next rounds."""
+        if news.is_own:
+            self._own.add(news.fingerprint)
+        self._rounds_left[news.fingerprint] = ROUNDS
+        self._rounds_left.move_to_end(news.fingerprint)
         if len(self._rounds_left) > MAX_WAITING_NEWS:
             oldest, _ = self._rounds_left.popitem(last=False)
             self._own.discard(oldest)
 
     def next_wake_ms(self) -> float:
-        """Return when ``pop_round`` has to be called."""
+        """Return when ``pop_rounds`` has to be called."""
         return self._next_round_ms if self._rounds_left else NEVER_MS
 
-    def pop_round(
+    def pop_rounds(
         self, near_ids: Sequence[str], far_ids_by_region: Mapping[str, Sequence[str]], now_ms: float
-    ) -> list[tuple[list[str], list[int]]]:
-        """Return which peers to tell now of which requests, the latest news first."""
+    ) -> list[NewsRound]:
+        """Return which peers of the own region and of the others to tell now of which requests."""
         if now_ms < self._next_round_ms or not self._rounds_left:
             return []
         self._next_round_ms = now_ms + ROUND_MS
-        told = list(reversed(self._rounds_left))[:MAX_NEWS_PER_ROUND]
-        own = [fingerprint for fingerprint in told if fingerprint in self._own]
+        told = self._pop_latest()
+        own = tuple(fingerprint for fingerprint in told if fingerprint in self._own)
         self._own.difference_update(own)
+        far_ids = tuple(
+            peer_id
+            for peer_ids in far_ids_by_region.values()
+            for peer_id in self._sample(peer_ids, FAR_PEERS_PER_REGION)
+        )
+        rounds = (
+            NewsRound(self._sample(near_ids, NEAR_PEERS_PER_ROUND), told),
+            NewsRound(far_ids, own),
+        )
+        return [found for found in rounds if found.peer_ids and found.fingerprints]
+
+    def _pop_latest(self) -> tuple[int, ...]:
+        """Return the latest news, and remove what was told in enough rounds."""
+        told = tuple(reversed(self._rounds_left))[:MAX_NEWS_PER_ROUND]
         for fingerprint in told:
             self._rounds_left[fingerprint] -= 1
             if not self._rounds_left[fingerprint]:
                 del self._rounds_left[fingerprint]
-        far_ids = [
-            peer_id
-            for peer_ids in far_ids_by_region.values()
-            for peer_id in self._sample(peer_ids, FAR_PEERS_PER_REGION)
-        ]
-        sent = [(self._sample(near_ids, NEAR_PEERS_PER_ROUND), told), (far_ids, own)]
-        return [(peer_ids, news) for peer_ids, news in sent if peer_ids and news]
+        return told
 
-    def _sample(self, peer_ids: Sequence[str], count: int) -> list[str]:
-        return self._random.sample(list(peer_ids), min(count, len(peer_ids)))
+    def _sample(self, peer_ids: Sequence[str], count: int) -> tuple[str, ...]:
+        return tuple(self._random.sample(list(peer_ids), min(count, len(peer_ids))))
--- a/packages/geraniumlead/src/geraniumlead/crashes/crash_records.py
+++ b/packages/geraniumlead/src/geraniumlead/crashes/crash_registry.py
@@ -11,7 +11,7 @@
 """Time after its last crash after which a refused request is forgotten."""
 
 
-class CrashRecords:
+class CrashRegistry:
     """The records of the requests under which upstreams were lost, and which of them are refused.
 
     ``digest`` is a number that two instances have in common if they refuse the same requests, and
--- a/packages/geraniumlead/src/geraniumlead/crashes/crash_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/crashes/crash_tracker.py
@@ -6,8 +6,9 @@
     Crash,
     CrashRecord,
 )
-from geraniumlead.crashes.crash_records import FORGET_AFTER_MS, CrashRecords
-from geraniumlead.crashes.crash_reports import build_report, read_crashes
+from geraniumlead.crashes.crash_registry import FORGET_AFTER_MS, CrashRegistry
+from geraniumlead.crashes.news import News
+from geraniumlead.crashes.report_conversion import build_report, read_crashes
 from geraniumlead.hashing import hash_text
 from geraniumlead.peering.messages import CrashReport
 
@@ -36,41 +37,41 @@
     merging is idempotent and commutative, so reports may come late, twice or by any way.
     """
 
-    __slots__ = ("_answers", "_causes", "_changed", "_checks", "_own_id", "_records")
+    __slots__ = ("_answers", "_causes", "_checks", "_news", "_own_id", "_registry")
 
     def __init__(self, own_id: str = "") -> None:
         self._own_id = own_id
-        self._records = CrashRecords()
+        self._registry = CrashRegistry()
         self._answers = AnswerMemory()
         self._causes = CrashCauses()
         self._checks: list[tuple[float, int]] = []
-        self._changed: dict[int, bool] = {}
+        self._news: dict[int, News] = {}
 
     def __len__(self) -> int:
         """Return under how many requests upstreams were lost."""
-        return len(self._records)
+        return len(self._registry)
 
     @property
     def digest(self) -> int:
         """Return a number that two instances have in common if they refuse the same requests."""
-        return self._records.digest
+        return self._registry.digest
 
     def find(self, fingerprint: int) -> CrashRecord | None:
         """Return what is known of a request; None if no upstream was lost under it."""
-        return self._records.find(fingerprint)
+        return self._registry.find(fingerprint)
 
     @property
     def has_suspected(self) -> bool:
         """Return whether any request is suspected or refused."""
-        return bool(self._records.suspected)
+        return bool(self._registry.suspected)
 
     def is_suspected(self, fingerprint: int) -> bool:
         """Return whether upstreams should be risked for a request only one at a time."""
-        return fingerprint in self._records.suspected
+        return fingerprint in self._registry.suspected
 
     def is_quarantined(self, fingerprint: int) -> bool:
         """Return whether a request is refused."""
-        return self._records.is_quarantined(fingerprint)
+        return self._registry.is_quarantined(fingerprint)
 
     def was_answered(self, fingerprint: int) -> bool:
         """Return whether an answer to the request is known, here or at a peer."""
@@ -82,7 +83,7 @@
 
     def quarantined(self) -> list[int]:
         """Return the requests that are refused, the last changed ones first."""
-        return self._records.quarantined()
+        return self._registry.quarantined()
 
     def may_start(self, fingerprint: int, now_ms: float) -> bool:
         """Return whether a new try of a request may be sent.
@@ -94,7 +95,7 @@
         """
         if not self.is_suspected(fingerprint):
             return True
-        record = self._records.find(fingerprint)
+        record = self._registry.find(fingerprint)
         if record is None:
             return True
         if not record.is_quarantined and self._answers.is_proven(fingerprint, now_ms):
@@ -104,7 +105,7 @@
         if record.is_quarantined:
             if now_ms < record.refused_until_ms + self._probe_delay_ms(fingerprint):
                 return False
-            self._mark_changed(fingerprint)
+            self._record_change(fingerprint)
         record.probed_ms = now_ms
         return True
 
@@ -115,33 +116,33 @@
         """
         if not self._may_be_cause(fingerprint, crash):
             return None
-        record = self._records.find_or_add(fingerprint)
+        record = self._registry.find_or_add(fingerprint)
         record.told_by = None
         if record.is_quarantined:
             self._explain(crash.process, fingerprint)
             self._extend_quarantine(fingerprint, record, crash, now_ms)
         elif self._add(fingerprint, record, crash, now_ms) and len(record.all_crashes()) > 1:
-            self._mark_changed(fingerprint)
+            self._record_change(fingerprint)
         return record
 
     def record_failed(self, fingerprint: int) -> None:
         """Record that a request ended without any answer; peers are told of its crashes."""
-        if self._records.find_suspect(fingerprint) is not None:
-            self._mark_changed(fingerprint)
+        if self._registry.find_suspect(fingerprint) is not None:
+            self._record_change(fingerprint)
 
     def record_answered(self, fingerprint: int, now_ms: float) -> None:
         """Record that an upstream answered a request, which clears it."""
         self._answers.record(fingerprint, now_ms)
-        record = self._records.find(fingerprint)
+        record = self._registry.find(fingerprint)
         if record is None:
             return
-        self._records.remove(fingerprint)
+        self._registry.remove(fingerprint)
         if record.is_shared:
-            self._changed[fingerprint] = True
+            self._add_news(fingerprint, is_own=True)
 
     def report(self, fingerprint: int, now_ms: float) -> CrashReport:
         """Return what peers should know of a request."""
-        record = self._records.find(fingerprint)
+        record = self._registry.find(fingerprint)
         return build_report(fingerprint, record, self._answers.find(fingerprint), now_ms)
 
     def merge(self, report: CrashReport, sender_id: str, now_ms: float) -> bool:
@@ -163,16 +164,15 @@
             if crash.lost_ms > oldest_ms:
                 is_new |= self._merge_crash(fingerprint, crash, sender_id, now_ms)
         if is_new:
-            self._changed.setdefault(fingerprint, False)
+            self._add_news(fingerprint, is_own=False)
         return is_new
 
-    def drain_changed(self) -> dict[int, bool]:
-        """Return the requests of which peers should be told anew, and clear the list.
-
-        The value is True if the news was not told by a peer.
-        """
-        changed, self._changed = self._changed, {}
-        return changed
+    def drain_news(self) -> list[News]:
+        """Return the requests of which peers should be told anew, and clear the list."""
+        if not self._news:
+            return []
+        news, self._news = list(self._news.values()), {}
+        return news
 
     def wake(self, now_ms: float) -> None:
         """Judge crashes that may have another cause, now that peers have told of theirs."""
@@ -182,13 +182,13 @@
         self._checks = [entry for entry in self._checks if entry[0] > now_ms]
         # The request with most crashes explains those that others share with it.
         for fingerprint in sorted(due, key=self._count_crashes, reverse=True):
-            record = self._records.find_suspect(fingerprint)
+            record = self._registry.find_suspect(fingerprint)
             if record is not None:
                 self._drop_explained(fingerprint, record, now_ms)
                 record.confirm()
-                self._records.update(fingerprint)
+                self._registry.update(fingerprint)
                 self._check(fingerprint, record, now_ms)
-                self._records.remove_if_empty(fingerprint)
+                self._registry.remove_if_empty(fingerprint)
 
     def next_wake_ms(self) -> float:
         """Return when ``wake`` has to be called."""
@@ -206,21 +206,21 @@
         if known_ms is not None and answered_ms <= known_ms:
             return False
         self._answers.record(fingerprint, answered_ms)
-        record = self._records.find(fingerprint)
+        record = self._registry.find(fingerprint)
         if record is None:
             return False
         if record.told_by is None:
             # The other regions have been told from here that it crashed an upstream.
-            self._changed[fingerprint] = True
+            self._add_news(fingerprint, is_own=True)
         record.drop_silent()
         cleared_until_ms = self._answers.cleared_until_ms(fingerprint)
         if record.is_quarantined:
             if record.crashes and record.quarantined_ms > cleared_until_ms:
                 return False
-            return self._records.remove(fingerprint)
+            return self._registry.remove(fingerprint)
         record.drop_until(cleared_until_ms)
-        self._records.update(fingerprint)
-        self._records.remove_if_empty(fingerprint)
+        self._registry.update(fingerprint)
+        self._registry.remove_if_empty(fingerprint)
         return True
 
     def _merge_quarantine(self, report: CrashReport, sender_id: str, now_ms: float) -> bool:
@@ -229,10 +229,10 @@
             return False
         fingerprint = report.fingerprint
         quarantined_ms = now_ms - report.quarantined_age_ms
-        is_new = not self._records.is_quarantined(fingerprint)
+        is_new = not self._registry.is_quarantined(fingerprint)
         if is_new:
             self._quarantine(fingerprint, quarantined_ms, now_ms)
-        record = self._records.find(fingerprint)
+        record = self._registry.find(fingerprint)
         if record is None:
             return False
         if report.probed_age_ms is not None:
@@ -249,12 +249,14 @@
         return is_new
 
     def _merge_crash(self, fingerprint: int, crash: Crash, sender_id: str, now_ms: float) -> bool:
-        if self._records.is_quarantined(fingerprint) or not self._may_be_cause(fingerprint, crash):
+        if self._registry.is_quarantined(fingerprint) or not self._may_be_cause(fingerprint, crash):
             return False
-        record = self._records.find_or_add(fingerprint)
+        record = self._registry.find_or_add(fingerprint)
+        seen_by, record.told_by = record.told_by, sender_id
         if not self._add(fingerprint, record, crash, now_ms):
+            record.told_by = seen_by
             return False
-        record.told_by, record.is_shared = sender_id, True
+        record.is_shared = True
         return True
 
     def _add(self, fingerprint: int, record: CrashRecord, crash: Crash, now_ms: float) -> bool:
@@ -267,7 +269,7 @@
         if not record.add(crash, is_confirmed=not (crash.is_silent or is_proven)):
             return False
         record.drop_until(now_ms - CRASH_LIFETIME_MS)
-        self._records.update(fingerprint)
+        self._registry.update(fingerprint)
         self._check(fingerprint, record, now_ms)
         return True
 
@@ -275,7 +277,7 @@
         """Refuse a request if its crashes are enough; look again when peers have told of others."""
         if record.has_enough_crashes():
             self._quarantine(fingerprint, now_ms, now_ms)
-            self._mark_changed(fingerprint)
+            self._record_change(fingerprint)
         elif record.unconfirmed:
             self._checks.append((now_ms + CONFIRMATION_MS, fingerprint))
 
@@ -288,13 +290,13 @@
         if crash.is_silent and self._answers.is_proven(fingerprint, crash.lost_ms):
             return False
         cause = self._causes.find_explanation(crash.process)
-        if cause not in (None, fingerprint) and self._records.is_quarantined(cause):
+        if cause not in (None, fingerprint) and self._registry.is_quarantined(cause):
             return False
         if not self._causes.add(fingerprint, crash):
             return False
         if crash.is_silent:
             for other in self._causes.pop_too_late(crash):
-                self._records.withdraw(other, crash.process)
+                self._registry.withdraw(other, crash.process)
         return True
 
     def _drop_explained(self, fingerprint: int, record: CrashRecord, now_ms: float) -> None:
@@ -317,28 +319,34 @@
         if crash.sent_ms >= record.probed_ms > record.quarantined_ms:
             record.quarantined_ms = now_ms
             record.failed_probes += 1
-            self._mark_changed(fingerprint)
+            self._record_change(fingerprint)
 
     def _quarantine(self, fingerprint: int, quarantined_ms: float, now_ms: float) -> None:
         """Refuse a request, and clear the others of the processes that it had."""
-        self._records.quarantine(fingerprint, quarantined_ms, now_ms)
+        self._registry.quarantine(fingerprint, quarantined_ms, now_ms)
         for process in self._causes.processes_of(fingerprint):
             self._explain(process, fingerprint)
 
     def _explain(self, process: int, fingerprint: int) -> None:
         for other in self._causes.explain_process(process, fingerprint):
-            self._records.withdraw(other, process)
+            self._registry.withdraw(other, process)
 
     def _count_crashes(self, fingerprint: int) -> int:
-        record = self._records.find_suspect(fingerprint)
+        record = self._registry.find_suspect(fingerprint)
         return 0 if record is None else len(record.all_crashes())
 
-    def _mark_changed(self, fingerprint: int) -> None:
-        self._changed[fingerprint] = True
-        self._records.refresh(fingerprint)
-        record = self._records.find(fingerprint)
+    def _record_change(self, fingerprint: int) -> None:
+        """Let peers be told of a request of which more is known now."""
+        self._registry.refresh(fingerprint)
+        record = self._registry.find(fingerprint)
         if record is not None:
             record.is_shared = True
+            self._add_news(fingerprint, is_own=record.told_by is None)
+
+    def _add_news(self, fingerprint: int, is_own: bool) -> None:
+        known = self._news.get(fingerprint)
+        was_own = known is not None and known.is_own
+        self._news[fingerprint] = News(fingerprint, is_own or was_own)
 
     def _probe_delay_ms(self, fingerprint: int) -> float:
         """Return how much later than allowed this instance sends one more try."""
--- a/packages/geraniumlead/src/geraniumlead/crashes/crash_reports.py
+++ b/packages/geraniumlead/src/geraniumlead/crashes/report_conversion.py
@@ -1,7 +1,7 @@
 """Convert what is known of a request to a report for peers, with ages in place of times."""
 
 from geraniumlead.crashes.crash_record import LONG_AGO_MS, Crash, CrashRecord
-from geraniumlead.peering.messages import CrashReport
+from geraniumlead.peering.messages import CrashReport, LostProcess
 
 
 def build_report(
@@ -24,15 +24,15 @@
 def read_crashes(report: CrashReport, now_ms: float) -> list[Crash]:
     """Return the crashes in a report that was made at ``now_ms`` of this clock."""
     return [
-        Crash(process, now_ms - sent_age_ms, now_ms - lost_age_ms, is_silent)
-        for process, sent_age_ms, lost_age_ms, is_silent in report.crashes
+        Crash(lost.process, now_ms - lost.sent_age_ms, now_ms - lost.lost_age_ms, lost.is_silent)
+        for lost in report.crashes
     ]
 
 
-def _build_crash(crash: Crash, now_ms: float) -> tuple[int, int, int, bool]:
+def _build_crash(crash: Crash, now_ms: float) -> LostProcess:
     sent_age_ms = max(0, round(now_ms - crash.sent_ms))
     lost_age_ms = max(0, round(now_ms - crash.lost_ms))
-    return crash.process, sent_age_ms, lost_age_ms, crash.is_silent
+    return LostProcess(crash.process, sent_age_ms, lost_age_ms, crash.is_silent)
 
 
 def _age_ms(time_ms: float | None, now_ms: float) -> int | None:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/crash_log.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/crash_log.py
@@ -1,5 +1,7 @@
 """The log lines that tell which requests crash upstreams, and who knew of it when."""
 
+from collections.abc import Sequence
+
 from geraniumlead.crashes import CrashRecord
 from geraniumlead.forwarding.actions import LogDecision
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
@@ -34,10 +36,10 @@
     return LogDecision("crash_strike", fields, "warning")
 
 
-def describe_told(report: CrashReport, peer_ids: list[str]) -> LogDecision:
+def describe_told(report: CrashReport, peer_ids: Sequence[str]) -> LogDecision:
     """Return the line of a report that is sent to peers."""
     fields = {**_describe_report(report), "peers": len(peer_ids)}
-    return LogDecision("crash_told", fields | {"first_peers": peer_ids[:MAX_LOGGED_PEERS]})
+    return LogDecision("crash_told", fields | {"first_peers": list(peer_ids[:MAX_LOGGED_PEERS])})
 
 
 def describe_notice(
--- a/packages/geraniumlead/src/geraniumlead/forwarding/crash_reporter.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/crash_reporter.py
@@ -1,3 +1,4 @@
+from collections.abc import Sequence
 from random import Random
 
 from geraniumlead.crashes import CrashGossip, CrashTracker
@@ -52,24 +53,24 @@
     def wake(self, now_ms: float) -> None:
         """Tell peers what is new, and let hellos carry the present digest."""
         self._tracker.wake(now_ms)
-        for fingerprint, is_own in self._tracker.drain_changed().items():
-            self._gossip.add(fingerprint, is_own)
+        for news in self._tracker.drain_news():
+            self._gossip.add(news)
         self._directory.crash_digest = self._tracker.digest
         if now_ms < self._gossip.next_wake_ms():
             return
         near_ids, far_ids_by_region = self._directory.live_by_region(now_ms)
-        for peer_ids, told in self._gossip.pop_round(near_ids, far_ids_by_region, now_ms):
-            message = self.build_message(told, now_ms)
-            for peer_id in peer_ids:
+        for news_round in self._gossip.pop_rounds(near_ids, far_ids_by_region, now_ms):
+            message = self.build_message(news_round.fingerprints, now_ms)
+            for peer_id in news_round.peer_ids:
                 self._send(peer_id, message)
             for report in message.reports:
-                self._actions.append(describe_told(report, peer_ids))
+                self._actions.append(describe_told(report, news_round.peer_ids))
 
     def next_wake_ms(self) -> float:
         """Return when ``wake`` has to be called."""
         return min(self._gossip.next_wake_ms(), self._tracker.next_wake_ms())
 
-    def build_message(self, fingerprints: list[int], now_ms: float) -> CrashReports:
+    def build_message(self, fingerprints: Sequence[int], now_ms: float) -> CrashReports:
         """Return a message that tells what is known of some requests."""
         reports = tuple(self._tracker.report(fingerprint, now_ms) for fingerprint in fingerprints)
         return CrashReports(now_ms, reports)
--- a/packages/geraniumlead/src/geraniumlead/peering/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -129,18 +129,30 @@
     number: int
 
 
+class LostProcess(Struct, frozen=True, array_like=True):
+    """A process of an upstream that was lost under a request.
+
+    ``process`` is a hash of the upstream's id and start. The ages are how long ago the request was
+    sent to it and it was lost. It ``is_silent`` if it never answered and its entry lapsed.
+    """
+
+    process: int
+    sent_age_ms: int
+    lost_age_ms: int
+    is_silent: bool = False
+
+
 class CrashReport(Struct, frozen=True, array_like=True):
     """What an instance knows of a request under which upstreams were lost.
 
-    ``crashes`` holds, for each lost process of an upstream, a hash of its id and start, how long
-    ago the request was sent to it and it was lost, and whether it fell silent. A request that is
+    A request that is
     refused has ``quarantined_age_ms``; ``probed_age_ms`` is how long ago it was sent in spite of
     that, and ``failed_probes`` how often that crashed an upstream.
     ``answered_age_ms`` is how long ago an upstream answered it; what was lost before tells nothing.
     """
 
     fingerprint: int
-    crashes: tuple[tuple[int, int, int, bool], ...] = ()
+    crashes: tuple[LostProcess, ...] = ()
     quarantined_age_ms: int | None = None
     probed_age_ms: int | None = None
     failed_probes: int = 0
--- a/packages/geraniumlead/tests/core_tests/crashes/test_crash_gossip.py
+++ b/packages/geraniumlead/tests/core_tests/crashes/test_crash_gossip.py
@@ -12,6 +12,7 @@
     ROUND_MS,
     ROUNDS,
 )
+from geraniumlead.crashes.news import News
 
 
 class CrashGossipTests(TestCase):
@@ -19,20 +20,20 @@
         """Spread one piece of news in three regions; return who heard and what crossed regions."""
         members = {str(number): CrashGossip(Random(number)) for number in range(count)}
         regions = {name: int(name) % 3 for name in members}
-        members["0"].add(1, is_own=True)
+        members["0"].add(News(1, is_own=True))
         informed, crossed, now_ms = {"0"}, 0, 0.0
         for _ in range(10):
             for name in sorted(informed):
                 near = [n for n in members if regions[n] == regions[name] and n != name]
                 far = {r: [n for n in members if regions[n] == r] for r in range(3)}
                 del far[regions[name]]
-                for peers, told in members[name].pop_round(near, far, now_ms):
-                    self.assertEqual([1], told)
-                    for peer in peers:
+                for news_round in members[name].pop_rounds(near, far, now_ms):
+                    self.assertEqual((1,), news_round.fingerprints)
+                    for peer in news_round.peer_ids:
                         crossed += regions[peer] != regions[name]
                         if peer not in informed:
                             informed.add(peer)
-                            members[peer].add(1, is_own=False)
+                            members[peer].add(News(1, is_own=False))
             now_ms += ROUND_MS
         return len(informed), crossed
 
@@ -52,25 +53,25 @@
 
     def test_the_first_round_is_sent_at_once_and_the_last_one_soon(self):
         gossip = CrashGossip(Random(1))
-        gossip.add(1, is_own=True)
+        gossip.add(News(1, is_own=True))
         times_ms = []
         while (due_ms := gossip.next_wake_ms()) < float("inf"):
             times_ms.append(max(0.0, due_ms))
-            gossip.pop_round(["a", "b"], {}, times_ms[-1])
+            gossip.pop_rounds(["a", "b"], {}, times_ms[-1])
         self.assertEqual([number * ROUND_MS for number in range(ROUNDS)], times_ms)
 
     def test_a_flood_of_news_is_sent_bit_by_bit(self):
         """Guards against a flood of crashing requests that takes an instance's network."""
         gossip = CrashGossip(Random(1))
         for number in range(10_000):
-            gossip.add(number, is_own=True)
-        rounds, told_first = 0, []
+            gossip.add(News(number, is_own=True))
+        rounds, told_first = 0, ()
         while gossip.next_wake_ms() < float("inf"):
             near = [str(number) for number in range(50)]
-            ((peers, told),) = gossip.pop_round(near, {}, rounds * ROUND_MS)
-            self.assertLessEqual(len(peers), NEAR_PEERS_PER_ROUND)
-            self.assertLessEqual(len(told), MAX_NEWS_PER_ROUND)
-            told_first = told_first or told
+            (news_round,) = gossip.pop_rounds(near, {}, rounds * ROUND_MS)
+            self.assertLessEqual(len(news_round.peer_ids), NEAR_PEERS_PER_ROUND)
+            self.assertLessEqual(len(news_round.fingerprints), MAX_NEWS_PER_ROUND)
+            told_first = told_first or news_round.fingerprints
             rounds += 1
         self.assertEqual(9_999, told_first[0])
         self.assertLessEqual(rounds, ROUNDS * MAX_WAITING_NEWS)
--- a/packages/geraniumlead/tests/core_tests/crashes/test_crash_tracker.py
+++ b/packages/geraniumlead/tests/core_tests/crashes/test_crash_tracker.py
@@ -12,8 +12,9 @@
     QUARANTINE_FACTOR,
     QUARANTINE_MS,
 )
-from geraniumlead.crashes.crash_records import FORGET_AFTER_MS, MAX_QUARANTINED, MAX_SUSPECTS
+from geraniumlead.crashes.crash_registry import FORGET_AFTER_MS, MAX_QUARANTINED, MAX_SUSPECTS
 from geraniumlead.crashes.crash_tracker import CONFIRMATION_MS, PROBE_SPREAD_MS
+from geraniumlead.crashes.news import News
 
 PROBE_MS = 1_000.0 + QUARANTINE_MS + PROBE_SPREAD_MS
 
@@ -145,12 +146,22 @@
         tracker = CrashTracker()
         tracker.record_lost(REQUEST, build_crash(1, 0.0), 10.0)
         tracker.record_answered(REQUEST, 40.0)
-        self.assertEqual({}, tracker.drain_changed())
+        self.assertEqual([], tracker.drain_news())
         tracker.record_lost(REQUEST, build_crash(2, 1_000.0), 1_010.0)
         tracker.record_failed(REQUEST)
-        tracker.drain_changed()
+        tracker.drain_news()
         tracker.record_answered(REQUEST, 2_000.0)
-        self.assertEqual({REQUEST: True}, tracker.drain_changed())
+        self.assertEqual([News(REQUEST, is_own=True)], tracker.drain_news())
+
+    def test_a_refusal_that_reports_of_peers_lead_to_is_no_news_of_its_own(self):
+        """Guards against each instance of a fleet telling the other regions what it was told."""
+        receiver = CrashTracker()
+        for process, at_ms in ((1, 0.0), (2, 5.0), (3, 900.0)):
+            sender, crash = CrashTracker(), build_crash(process, at_ms)
+            sender.record_lost(REQUEST, crash, crash.lost_ms)
+            tell(sender, receiver, 1_000.0)
+        self.assertTrue(receiver.is_quarantined(REQUEST))
+        self.assertEqual([News(REQUEST, is_own=False)], receiver.drain_news())
 
     def test_crashes_after_an_answer_count(self):
         receiver = CrashTracker()
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_crash_reporter.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_crash_reporter.py
@@ -17,7 +17,14 @@
 from geraniumlead.crashes import CrashTracker
 from geraniumlead.forwarding import PeerMessageReceived, PossiblyExecuted
 from geraniumlead.forwarding.crash_reporter import MAX_REPAIRS_PER_S, CrashReporter
-from geraniumlead.peering import CrashReport, CrashReports, DelegatedReply, Hello, PeerContact
+from geraniumlead.peering import (
+    CrashReport,
+    CrashReports,
+    DelegatedReply,
+    Hello,
+    LostProcess,
+    PeerContact,
+)
 from geraniumlead.peering.directory import INFORMED_AFTER_MS
 
 LOST = PossiblyExecuted("reset", is_connection_lost=True)
@@ -63,7 +70,7 @@
         fingerprint = self.near.ask(1)[0].request.fingerprint
         for number, at_ms in enumerate((100.0, 110.0, 1_000.0)):
             self.far.forwarder._runner.crashes.merge(
-                CrashReport(fingerprint, ((number, int(at_ms), int(at_ms) - 10, False),)),
+                CrashReport(fingerprint, (LostProcess(number, int(at_ms), int(at_ms) - 10),)),
                 "entry-9",
                 self.far.now_ms,
             )
@@ -94,7 +101,7 @@
         fingerprint = attempts[0].request.fingerprint
         for tracker in (self.near, self.far):
             tracker.forwarder._runner.crashes.merge(
-                CrashReport(fingerprint, ((1, 900, 890, False), (2, 890, 880, False))),
+                CrashReport(fingerprint, (LostProcess(1, 900, 890), LostProcess(2, 890, 880))),
                 "entry-9",
                 self.near.now_ms,
             )
@@ -159,7 +166,7 @@
         tracker = CrashTracker()
         tracker.record_answered(REQUEST, 0.0)
         reporter = self.build(tracker)
-        report = CrashReport(REQUEST, ((1, 900, 890, True),))
+        report = CrashReport(REQUEST, (LostProcess(1, 900, 890, is_silent=True),))
         reporter.handle_reports(FAR, CrashReports(5_000.0, (report,)), 5_000.0)
         (outgoing,) = self.actions
         self.assertEqual(5_000, outgoing.message.reports[0].answered_age_ms)
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_crash_tracker.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_crashing_requests.py
@@ -18,7 +18,7 @@
 )
 from geraniumlead.crashes.crash_tracker import PROBE_SPREAD_MS
 from geraniumlead.forwarding import PeerMessageReceived, PossiblyExecuted
-from geraniumlead.peering import CrashReport, CrashReports
+from geraniumlead.peering import CrashReport, CrashReports, LostProcess
 
 LOST = PossiblyExecuted("reset", is_connection_lost=True)
 
@@ -90,19 +90,19 @@
         self.assertEqual(attempts[2].upstream.service, resent.upstream.service)
         self.assertEqual(4, len(self.harness.ask(2, path="/all/1", target="/all/1")))
 
-    def receive(self, *crashes: tuple[int, int, int, bool]) -> None:
+    def receive(self, *crashes: LostProcess) -> None:
         """Receive a peer's report of crashes."""
         fingerprint = self.harness.ask(100)[0].request.fingerprint
         reports = CrashReports(0.0, (CrashReport(fingerprint, crashes),))
         self.harness.handle(PeerMessageReceived("entry-2", reports))
 
     def test_crashes_that_peers_saw_count_too(self):
-        self.receive((1, 900, 890, False), (2, 890, 880, False), (3, 500, 490, False))
+        self.receive(LostProcess(1, 900, 890), LostProcess(2, 890, 880), LostProcess(3, 500, 490))
         self.assertEqual([], self.harness.ask(2))
 
     def test_a_refusal_tells_what_was_known(self):
         self.crash(2)
-        self.receive((1, 900, 890, False), (2, 890, 880, False), (3, 500, 490, False))
+        self.receive(LostProcess(1, 900, 890), LostProcess(2, 890, 880), LostProcess(3, 500, 490))
         self.harness.run_until(800.0)
         self.harness.ask(3)
         lines = {line.name: line.fields for line in self.harness.logged}
--- a/packages/geraniumlead/tests/core_tests/peering/test_messages.py
+++ b/packages/geraniumlead/tests/core_tests/peering/test_messages.py
@@ -12,6 +12,7 @@
     DelegationCancelled,
     Goodbye,
     Hello,
+    LostProcess,
     PeerContact,
     StoreItem,
     StoreUpdates,
@@ -31,9 +32,8 @@
     DelegatedReply(1, False, ((0, "signature"),), b"records"),
     StoreUpdates(4, 7, (StoreItem("key", 5, b"value"), StoreItem("gone", 7)), True),
     DelegationCancelled(1),
-    CrashReports(
-        1.5, (CrashReport(123, ((7, 40, 35, True),)), CrashReport(2**64 - 1, (), 10, 5, 1, 99))
-    ),
+    CrashReports(1.5, (CrashReport(123, (LostProcess(7, 40, 35, True),)),)),
+    CrashReports(1.5, (CrashReport(2**64 - 1, (), 10, 5, 1, 99),)),
 )
 
 
