--- a/packages/geraniumlead-client/src/geraniumlead_client/loss_report.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/loss_report.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from geraniumlead_client.crash_report import CrashReport
+from geraniumlead_client.crash_statistics import CrashStatistics
 from geraniumlead_client.log_lines import LogLine, SkippedLine
 
 HTTP_OK = 200
@@ -93,7 +93,7 @@
     total: LossRow = field(default_factory=lambda: LossRow("all"))
     second_sendings: HedgeCounts = field(default_factory=HedgeCounts)
     times: TimeCounts = field(default_factory=TimeCounts)
-    crashes: CrashReport = field(default_factory=CrashReport)
+    crashes: CrashStatistics = field(default_factory=CrashStatistics)
     not_logged: int = 0
     skipped: list[SkippedLine] = field(default_factory=list)
 
--- a/packages/geraniumlead-client/src/geraniumlead_client/request_trace.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/request_trace.py
@@ -5,6 +5,7 @@
 from datetime import datetime, timedelta
 from typing import Any
 
+from geraniumlead_client.crash_statistics import CRASH_EVENTS
 from geraniumlead_client.log_lines import LogLine, SkippedLine
 
 OBSERVATION_EVENTS = frozenset({"upstream_entered", "upstream_changed", "upstream_left"})
@@ -42,8 +43,6 @@
     "strikes",
     "strikes_before",
 )
-CRASH_EVENTS = frozenset({"crash_strike", "crash_told", "crash_notice"})
-"""Events of all repeats of a request, which are joined by its fingerprint."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +100,7 @@
         return sorted(found, key=lambda step: step.time)
 
     def _crash_lines_of_repeats(self) -> list[LogLine]:
-        """Return what instances knew and told of the upstreams lost under the same request."""
+        """Return what instances knew and told of the same request, joined by its fingerprint."""
         fingerprints = {line.fields.get("fingerprint") for line in self._lines} - {None}
         return [
             line for line in self._crash_lines if line.fields.get("fingerprint") in fingerprints
