review: a peer's restart is taken for an outage, and gone servers stay in use

The first read of a process that has just started counts as the store's return. For 3 s the relayed updates of a restarted watcher make all receivers hold removals for 2.2 s.

--- a/review/standins.py
+++ b/review/standins.py
@@ -88,10 +88,19 @@
         self._revision = 1
         self._changed = asyncio.Event()
         self.address = ""
+        self.last_read_s = {}
 
     async def start(self):
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.address = await self.open_port("")
+
+    async def open_port(self, reader_name):
+        """Listen on one more port; calls there count as those of one reader."""
+
+        async def serve(reader, writer):
+            await self._serve(reader, writer, reader_name)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
 
     def put(self, key, value):
         """Write a key; return the revision."""
@@ -114,9 +123,10 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, reader, writer, reader_name):
         try:
             while (head := await read_head(reader)) is not None:
+                self.last_read_s[reader_name] = time.monotonic()
                 _, target, _ = head[0].split(" ")
                 path, _, query = target.partition("?")
                 fields = dict(part.partition("=")[::2] for part in query.split("&") if part)
