--- a/review/standins.py
+++ b/review/standins.py
@@ -245,6 +245,7 @@
             return 200, {"Instance-Id": self.server_id}, b""
         if headers.get("expect-instance", self.server_id) != self.server_id:
             return 421, {"Not-Executed": "1", "Request-Id": request_id}, b""
+        self.note_arrival(request_id)
         if self._free.locked() and self._waiting >= self.queue:
             return 503, {"Not-Executed": "1", "Request-Id": request_id}, b""
         end_s = time.monotonic() + float(headers.get("deadline-ms", "1e6")) / 1000.0
@@ -260,6 +261,9 @@
         finally:
             self._free.release()
 
+    def note_arrival(self, request_id):
+        """Be told that a request meant for this server has reached it, before it waits for a slot."""
+
     async def _run(self, method, target, request_id, body, end_s):
         self.record.write(
             "run", server=self.server_id, service=self.service, request=request_id, target=target
