Name the processes that a message between instances is from and for

Cause: an instance matches a peer's reply by a number alone, the numbers start at 1 in each process, and no message names a process. The peer goes on for the earlier process and sends its replies to the new one. At the peer the second request with a (sender, number) replaced the first, and the end of one of them raised KeyError out of whatever event was handled.

Change: an envelope before each message has the sender's incarnation and that of the process it is for. One check (PeerDirectory.match_processes, is_kept) decides, for every kind of message, what is still acted upon; what is dropped is logged and counted, and a peer that takes this process for the earlier one gets a hello. A reply counts only from the peer that was asked. Work for a process ends when its successor is heard of. Numbers begin at another place in each process, since a peer of an older version sends no envelope; it reads the last frame only, so it also understands the new form. 11 bytes a message.

Related paths, each with a test: late hello, goodbye, cancellation, hedge, acknowledgement, reply, request, relayed store updates, crash reports; a request that comes twice; numbers given again by an older version; an echo or an end on the clock before a machine restarted; first messages in the wrong order.

--- a/packages/geraniumlead-server/src/geraniumlead_server/daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/daemon.py
@@ -61,7 +61,7 @@
         )
         self._peers = PeerTransport(
             self._settings,
-            lambda sender_id, message: driver.handle(PeerMessageReceived(sender_id, message)),
+            lambda sender_id, message, _: driver.handle(PeerMessageReceived(sender_id, message)),
             PublishedKeys(lambda: instance.parts.store.view),
             PeerCodec(encode_message, decode_message),
         )
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_driver.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_driver.py
@@ -6,7 +6,6 @@
 
 from geraniumlead.forwarding import (
     CallerDisconnected,
-    CancelAttempt,
     ForwardedRequest,
     Forwarder,
     ForwardingAction,
@@ -16,10 +15,8 @@
     ReplyWritten,
     RequestArrived,
     SendReply,
-    StartAttempt,
     TimePassed,
 )
-from geraniumlead.peering.outgoing_peer_message import OutgoingPeerMessage
 from geraniumlead.routes import RequestLimits
 
 logger = logging.getLogger("geraniumlead")
@@ -89,7 +86,7 @@
                 case LogDecision():
                     for observe in self.observers:
                         observe(action)
-                case StartAttempt() | CancelAttempt() | OutgoingPeerMessage():
+                case _:
                     self._carry_out(action)
 
     def _resolve(self, key: int, reply: Reply) -> None:
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
@@ -7,6 +7,7 @@
 from opentelemetry.sdk.metrics.export import MetricReader
 
 from geraniumlead.forwarding import Forwarder, LogDecision
+from geraniumlead.forwarding.peer_message_handler import MESSAGE_DROPPED
 from geraniumlead_server.forwarding_telemetry.bounds import LATENCY_BOUNDS_MS
 
 MAX_LABELLED_ROUTES = 200
@@ -50,6 +51,10 @@
             "geraniumlead_crash_events",
             description="upstreams lost under a request, notices of them, and refusals for them",
         )
+        self._dropped = meter.create_counter(
+            "geraniumlead_peer_messages_dropped",
+            description="messages of or for a process of an instance that is gone",
+        )
         self._missing = meter.create_counter("geraniumlead_missing_shards")
         self._view_changes = meter.create_counter("geraniumlead_view_changes")
         for name, read in (
@@ -68,6 +73,9 @@
         if decision.name in CRASH_EVENTS:
             self._crashes.add(1, {"event": decision.name})
             return
+        if decision.name == MESSAGE_DROPPED:
+            self._dropped.add(1, {"kind": fields["kind"], "reason": fields["reason"]})
+            return
         if decision.name != "request":
             self._view_changes.add(1, {"change": decision.name})
             return
--- a/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
@@ -34,6 +34,10 @@
 
 ZAP_DOMAIN = "peers"
 
+FRAMES_WITH_ENVELOPE = 3
+"""Number of frames of a message with an envelope: the sender's identity, the envelope, the data. An
+instance that knows no envelopes reads only the last one."""
+
 IDENTITY_SEPARATOR = "/"
 """Separates the instance's name from a suffix in a connection's identity; names have no slash."""
 
@@ -47,7 +51,8 @@
 
     With keys, the sender of a message is the owner of the key that authenticated its
     connection; the name in the identity is ignored, and unknown keys are refused. Without
-    keys, which is for development only, the name in the identity is trusted.
+    keys, which is for development only, the name in the identity is trusted. ``report`` gets the
+    sender, the message and the bytes of its envelope.
 
     The ROUTER is a plain socket whose file descriptor the loop monitors: the awaitable socket
     costs a future and a poll for each message (docs/measurements/peer-transport.md).
@@ -56,7 +61,7 @@
     def __init__(
         self,
         settings: InstanceSettings | PlatformSettings,
-        report: Callable[[str, Any], None],
+        report: Callable[[str, Any, bytes], None],
         keys: "PublishedKeys | None",
         codec: PeerCodec,
     ) -> None:
@@ -98,7 +103,7 @@
             return
         dealer = self._dealers.socket_for(outgoing, self._loop.time())
         try:
-            dealer.send(self._encode(outgoing.message), zmq.NOBLOCK)
+            dealer.send_multipart(self._build_frames(outgoing), zmq.NOBLOCK)
         except zmq.Again:
             self._dealers.record_blocked(outgoing.instance_id, self._loop.time())
             logger.debug("peer_message_dropped", extra={"fields": {"peer": outgoing.instance_id}})
@@ -107,6 +112,11 @@
         """Open a new connection to a peer that has just restarted, with the next message to it."""
         self._dealers.renew_after_restart(instance_id, running_s, self._loop.time())
 
+    def _build_frames(self, outgoing: OutgoingMessage) -> list[bytes]:
+        envelope = self._codec.encode_envelope(outgoing)
+        data = self._encode(outgoing.message)
+        return [envelope, data] if envelope else [data]
+
     def _encode(self, message: Any) -> bytes:
         """Return the encoded message; the last one is cached, since several peers get the same.
 
@@ -155,12 +165,13 @@
         if sender_id is None:
             logger.warning("peer_message_of_unlisted_sender")
             return
-        data = frames[-1] if isinstance(frames[-1], bytes) else frames[-1].buffer
+        data = _content_of(frames[-1])
         message = self._codec.decode(data) if len(frames) > 1 else None
         if message is None:
             logger.warning("peer_message_malformed", extra={"fields": {"peer": sender_id}})
             return
-        self._report(sender_id, message)
+        envelope = bytes(_content_of(frames[1])) if len(frames) == FRAMES_WITH_ENVELOPE else b""
+        self._report(sender_id, message, envelope)
 
     def _find_sender(self, frames: list) -> str | None:
         if self.has_keys:
@@ -194,3 +205,7 @@
     def _set_keys(self, socket: zmq.Socket) -> None:
         socket.curve_publickey = self._settings.peer_public_key.encode()
         socket.curve_secretkey = self._settings.peer_secret_key.encode()
+
+
+def _content_of(frame: bytes | zmq.Frame) -> bytes | memoryview:
+    return frame if isinstance(frame, bytes) else frame.buffer
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -13,15 +13,21 @@
     CancelAttempt,
     Forwarder,
     ForwardingAction,
+    HandleStoreMessage,
     PeerMessageReceived,
+    RenewConnection,
     StartAttempt,
+    draw_incarnation,
 )
 from geraniumlead.peering import (
-    Hello,
+    Envelope,
     PeeringMessage,
+    ProcessId,
     StateRequest,
     StoreUpdates,
+    decode_envelope,
     decode_peering,
+    encode_envelope,
     encode_peering,
 )
 from geraniumlead.peering.outgoing_peer_message import OutgoingPeerMessage
@@ -89,8 +95,12 @@
     async def run(self) -> None:
         """Serve, and return after a graceful stop."""
         self._loop = asyncio.get_running_loop()
+        self._incarnation = draw_incarnation(self._random)
         forwarder = Forwarder(
-            self._settings.to_forwarding_settings(), self._random, self._loop.time() * 1000.0
+            self._settings.to_forwarding_settings(),
+            self._random,
+            self._loop.time() * 1000.0,
+            self._incarnation,
         )
         self._driver = ForwardingDriver(forwarder, self._carry_out)
         self._attempts = AttemptClient(self._driver.handle)
@@ -99,7 +109,7 @@
             self._settings,
             self._handle_message,
             None,
-            PeerCodec(encode_peering, decode_peering),
+            PeerCodec(encode_peering, decode_peering, self._encode_envelope),
         )
         self._peers.start()
         servers = self._build_servers()
@@ -116,7 +126,8 @@
         tasks = [servers[0].start([self._listener]), ready_task]
         gc.freeze()
         gc.enable()
-        logger.info("started", extra={"fields": {"seeds": len(self._settings.seeds)}})
+        fields = {"seeds": len(self._settings.seeds), "incarnation": self._incarnation}
+        logger.info("started", extra={"fields": fields})
         await self._stopping.wait()
         await self._stop(servers, tasks)
         for task in background:
@@ -185,38 +196,43 @@
 
     def _relay_store_updates(self, updates: StoreUpdates) -> None:
         for peer in self._driver.forwarder.store_watch.update_receivers(self._driver.now_ms()):
-            contact = peer.contact
-            self._peers.send(OutgoingPeerMessage(contact.instance_id, contact.address, updates))
+            self._peers.send(peer.address_message(updates))
 
     def _request_state(self, beyond_revision: int | None) -> None:
         store_watch = self._driver.forwarder.store_watch
         peer = store_watch.choose_state_source(self._driver.now_ms(), self._random)
         if peer is None:
             return
-        contact = peer.contact
-        logger.info("state_wanted", extra={"fields": {"peer": contact.instance_id}})
-        message = StateRequest(beyond_revision)
-        self._peers.send(OutgoingPeerMessage(contact.instance_id, contact.address, message))
+        logger.info("state_wanted", extra={"fields": {"peer": peer.contact.instance_id}})
+        self._peers.send(peer.address_message(StateRequest(beyond_revision)))
 
-    def _send_state(self, sender_id: str, beyond_revision: int | None) -> None:
-        peer = self._driver.forwarder.store_watch.peer(sender_id)
+    def _send_state(self, receiver: ProcessId, beyond_revision: int | None) -> None:
+        peer = self._driver.forwarder.store_watch.peer(receiver.instance_id)
         updates = (
             None if self._follower is None else self._follower.build_state_reply(beyond_revision)
         )
         if peer is not None and updates is not None:
-            self._peers.send(OutgoingPeerMessage(sender_id, peer.contact.address, updates))
+            self._peers.send(peer.address_message(updates, receiver.incarnation))
 
-    def _handle_message(self, sender_id: str, message: PeeringMessage) -> None:
+    def _encode_envelope(self, outgoing: OutgoingPeerMessage) -> bytes:
+        return encode_envelope(Envelope(self._incarnation, outgoing.receiver_incarnation))
+
+    def _handle_message(self, sender_id: str, message: PeeringMessage, data: bytes) -> None:
+        envelope = decode_envelope(data)
+        if envelope is None:
+            logger.warning("peer_message_malformed", extra={"fields": {"peer": sender_id}})
+            return
+        way_ms = measure_way_ms(message)
+        self._driver.handle(PeerMessageReceived(sender_id, message, way_ms, envelope))
+
+    def _handle_store_message(
+        self, sender: ProcessId, message: StateRequest | StoreUpdates
+    ) -> None:
         match message:
             case StoreUpdates():
-                self._handle_relayed(sender_id, message)
+                self._handle_relayed(sender.instance_id, message)
             case StateRequest(beyond_revision=beyond_revision):
-                self._send_state(sender_id, beyond_revision)
-            case _:
-                if isinstance(message, Hello):
-                    self._peers.renew_after_restart(sender_id, message.running_ms / 1000.0)
-                way_ms = measure_way_ms(message)
-                self._driver.handle(PeerMessageReceived(sender_id, message, way_ms))
+                self._send_state(sender, beyond_revision)
 
     def _handle_relayed(self, sender_id: str, updates: StoreUpdates) -> None:
         if self._follower is None:
@@ -274,5 +290,9 @@
                 self._attempts.start(action)
             case CancelAttempt(attempt_id=attempt_id):
                 self._attempts.cancel(attempt_id)
+            case HandleStoreMessage(sender=sender, message=message):
+                self._handle_store_message(sender, message)
+            case RenewConnection(instance_id=instance_id, running_ms=running_ms):
+                self._peers.renew_after_restart(instance_id, running_ms / 1000.0)
             case OutgoingPeerMessage(message=message):
                 self._peers.send(replace(action, message=stamp_message(message)))
--- a/packages/geraniumlead-server/tests/server_tests/forwarding_telemetry/test_metrics.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding_telemetry/test_metrics.py
@@ -59,3 +59,11 @@
         self.assertEqual([], self.read("geraniumlead_view_changes"))
         (suspects,) = self.read("geraniumlead_crash_suspects")
         self.assertEqual(0, suspects.value)
+
+    def test_messages_of_processes_that_are_gone_are_counted_by_kind_and_reason(self):
+        """Guards against dropped messages between instances that nobody sees."""
+        fields = {"kind": "DelegatedReply", "reason": "for an earlier process"}
+        for _ in range(2):
+            self.metrics.observe(LogDecision("peer_message_dropped", fields, "warning"))
+        (point,) = self.read("geraniumlead_peer_messages_dropped")
+        self.assertEqual((2, fields), (point.value, dict(point.attributes)))
--- a/packages/geraniumlead-server/tests/server_tests/peer_transport/test_transport.py
+++ b/packages/geraniumlead-server/tests/server_tests/peer_transport/test_transport.py
@@ -49,7 +49,7 @@
     def send(self, other: "Node", text: str) -> None:
         self.transport.send(SendToPeer(other.name, other.address, Goodbye(text), other.public_key))
 
-    def _receive(self, sender_id: str, message: Goodbye) -> None:
+    def _receive(self, sender_id: str, message: Goodbye, envelope: bytes) -> None:
         self.received.append((sender_id, message.incarnation))
 
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/__init__.py
@@ -3,7 +3,9 @@
 from geraniumlead.forwarding.actions import (
     CancelAttempt,
     ForwardingAction,
+    HandleStoreMessage,
     LogDecision,
+    RenewConnection,
     SendReply,
     StartAttempt,
 )
@@ -20,7 +22,7 @@
     TimePassed,
 )
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
-from geraniumlead.forwarding.forwarder import Forwarder
+from geraniumlead.forwarding.forwarder import Forwarder, draw_incarnation
 from geraniumlead.forwarding.replies import MergedReply, OwnReply, RelayedReply, Reply
 from geraniumlead.forwarding.results import (
     AttemptResult,
@@ -52,6 +54,7 @@
     "ForwardingAction",
     "ForwardingEvent",
     "ForwardingSettings",
+    "HandleStoreMessage",
     "LogDecision",
     "MergedReply",
     "NotExecuted",
@@ -62,6 +65,7 @@
     "PossiblyExecuted",
     "PublishedUpdates",
     "RelayedReply",
+    "RenewConnection",
     "Reply",
     "ReplyWritten",
     "RequestArrived",
@@ -71,4 +75,5 @@
     "TimePassed",
     "UpstreamSeen",
     "UpstreamWithdrawn",
+    "draw_incarnation",
 ]
--- a/packages/geraniumlead/src/geraniumlead/forwarding/actions.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/actions.py
@@ -5,7 +5,14 @@
 from geraniumlead.forwarding.deadline import Deadline
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.replies import Reply
-from geraniumlead.peering import CrashReports, DelegatedReply, DelegationAcknowledged
+from geraniumlead.peering import (
+    CrashReports,
+    DelegatedReply,
+    DelegationAcknowledged,
+    ProcessId,
+    StateRequest,
+    StoreUpdates,
+)
 from geraniumlead.peering.outgoing_peer_message import OutgoingPeerMessage
 from geraniumlead.published_upstreams import UpstreamRecord
 
@@ -41,13 +48,32 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerReply:
-    """Send a peer the acknowledgement or the results of a request that it delegated, or the
-    crashes that it caused."""
+    """Send the process that delegated a request its acknowledgement, its results, or the crashes
+    that it caused."""
 
-    sender_id: str
+    receiver: ProcessId
     message: DelegatedReply | DelegationAcknowledged | CrashReports
 
 
+@dataclass(frozen=True, slots=True)
+class HandleStoreMessage:
+    """Pass a peer's message about the platform's store to the part that follows the store."""
+
+    sender: ProcessId
+    message: StateRequest | StoreUpdates
+
+
+@dataclass(frozen=True, slots=True)
+class RenewConnection:
+    """Replace the connection to a peer if it is older than the peer's process.
+
+    The process has been running for ``running_ms``.
+    """
+
+    instance_id: str
+    running_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class LogDecision:
     """Write a log line: ``fields`` holds the inputs of a decision and its outcome."""
@@ -58,5 +84,12 @@
 
 
 ForwardingAction = (
-    StartAttempt | CancelAttempt | SendReply | LogDecision | PeerReply | OutgoingPeerMessage
+    StartAttempt
+    | CancelAttempt
+    | SendReply
+    | LogDecision
+    | PeerReply
+    | HandleStoreMessage
+    | RenewConnection
+    | OutgoingPeerMessage
 )
--- a/packages/geraniumlead/src/geraniumlead/forwarding/crash_reporter.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/crash_reporter.py
@@ -5,7 +5,6 @@
 from geraniumlead.forwarding.actions import ForwardingAction
 from geraniumlead.forwarding.crash_log import describe_notice, describe_told
 from geraniumlead.peering import CrashReport, CrashReports, Hello, PeerDirectory
-from geraniumlead.peering.outgoing_peer_message import OutgoingPeerMessage
 
 MAX_REPORTS_PER_HELLO = 40
 """Maximum number of refused requests told to a peer whose hello shows that it refuses others; they
@@ -129,5 +128,4 @@
     def _send(self, peer_id: str, message: CrashReports) -> None:
         peer = self._directory.peers.get(peer_id)
         if peer is not None:
-            outgoing = OutgoingPeerMessage(peer_id, peer.contact.address, message)
-            self._actions.append(outgoing)
+            self._actions.append(peer.address_message(message))
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegated_subrequests.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegated_subrequests.py
@@ -7,7 +7,7 @@
 from geraniumlead.forwarding.open_request import OpenRequest, Subrequest
 from geraniumlead.forwarding.results import Completed
 from geraniumlead.forwarding.subrequest_sender import SubrequestSender
-from geraniumlead.peering import CrashReports, DelegatedReply, PeerContact
+from geraniumlead.peering import CrashReports, DelegatedReply, PeerContact, ProcessId
 from geraniumlead.published_upstreams import UpstreamRecord
 
 OK = 200
@@ -27,9 +27,10 @@
         sender: SubrequestSender,
         actions: list[ForwardingAction],
         own_contact: PeerContact,
+        first_number: int = 0,
     ) -> None:
         self._planner = planner
-        self.tracker = DelegationTracker(own_contact)
+        self.tracker = DelegationTracker(own_contact, first_number)
         self.registry = DelegatedRequestRegistry()
         self._sender = sender
         self._actions = actions
@@ -108,20 +109,20 @@
         """
         if not open_request.is_reported:
             open_request.is_reported = True
-            sender_id, message = self.registry.build_partial_reply(open_request)
-            self._actions.append(PeerReply(sender_id, message))
+            receiver, message = self.registry.build_partial_reply(open_request)
+            self._actions.append(PeerReply(receiver, message))
 
     def send_crashes(self, open_request: OpenRequest, message: CrashReports) -> None:
         """Tell the peer that delegated a request which upstreams were lost under it."""
-        sender_id = self.registry.find_sender(open_request)
-        if sender_id is not None:
-            self._actions.append(PeerReply(sender_id, message))
-
-    def send_final_reply(self, open_request: OpenRequest) -> str:
-        """Send a peer the final reply to its request, which ends; return the peer's id."""
-        sender_id, message = self.registry.pop_final_reply(open_request)
-        self._actions.append(PeerReply(sender_id, message))
-        return sender_id
+        receiver = self.registry.find_sender(open_request)
+        if receiver is not None:
+            self._actions.append(PeerReply(receiver, message))
+
+    def send_final_reply(self, open_request: OpenRequest) -> ProcessId:
+        """Send a peer the final reply to its request, which ends; return the peer's process."""
+        receiver, message = self.registry.pop_final_reply(open_request)
+        self._actions.append(PeerReply(receiver, message))
+        return receiver
 
     def cancel(self, open_request: OpenRequest) -> None:
         """Cancel the delegations of a request and notify the peers."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegation_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegation_tracker.py
@@ -6,6 +6,7 @@
 from geraniumlead.forwarding.processing_delay import DelaySamples
 from geraniumlead.forwarding.wake_times import WakeTimes
 from geraniumlead.peering import (
+    UNKNOWN_INCARNATION,
     DelegatedReply,
     DelegatedRequest,
     DelegationCancelled,
@@ -52,7 +53,8 @@
     ``due_ms`` is when the next message of the peer is due, ``partial_reply_due_ms`` when the
     answers it has at its goal should be here, ``reply_due_ms`` when it is late without them. Once
     anything is overdue, its subrequests are sent from here as well, as far as the budget allows;
-    ``is_hedged`` is set once the peer was notified of it.
+    ``is_hedged`` is set once the peer was notified of it. ``peer_incarnation`` is the process of
+    the peer that the request was sent to.
     """
 
     number: int
@@ -63,6 +65,7 @@
     partial_reply_due_ms: float
     reply_due_ms: float
     sent_ms: float
+    peer_incarnation: int = UNKNOWN_INCARNATION
     is_acknowledged: bool = False
     lateness: Lateness = Lateness.NOTHING
     was_extended: bool = False
@@ -88,11 +91,16 @@
 
     __slots__ = ("_ack_delay", "_last_number", "_open", "_own_contact", "_reply_delay", "_wakes")
 
-    def __init__(self, own_contact: PeerContact) -> None:
+    def __init__(self, own_contact: PeerContact, first_number: int = 0) -> None:
+        """Track delegations; ``first_number`` differs between the processes of an instance.
+
+        Failure: a peer of an older version replies to the previous process of this instance, and
+        nothing but the number tells the reply from one to this process.
+        """
         self._own_contact = own_contact
         self._open: dict[int, Delegation] = {}
         self._wakes = WakeTimes()
-        self._last_number = 0
+        self._last_number = first_number
         self._reply_delay = DelaySamples()
         self._ack_delay = DelaySamples()
 
@@ -126,6 +134,7 @@
             partial_reply_due_ms,
             reply_due_ms,
             now_ms,
+            peer.incarnation,
         )
         self._open[delegation.number] = delegation
         self._wakes.add(due_ms, delegation.number)
@@ -148,7 +157,7 @@
             sender=self._own_contact,
             end_ms=peer.clock_offset.to_other_clock_ms(open_request.end_ms),
         )
-        return OutgoingPeerMessage(peer.contact.instance_id, peer.contact.address, message)
+        return peer.address_message(message)
 
     def _ack_timeout_ms(self, peer: KnownPeer, goal_left_ms: float, now_ms: float) -> float:
         """Return how long to wait for a peer's acknowledgement."""
@@ -158,13 +167,20 @@
             peer.acknowledgement_timeout_ms, min(expected_ms, MAX_ACK_GOAL_SHARE * goal_left_ms)
         )
 
-    def record_acknowledgement(self, number: int, now_ms: float) -> None:
+    def find(self, number: int, peer_id: str) -> Delegation | None:
+        """Return the open delegation with a number; None if the peer was not asked for it."""
+        delegation = self._open.get(number)
+        if delegation is None or delegation.peer.contact.instance_id != peer_id:
+            return None
+        return delegation
+
+    def record_acknowledgement(self, number: int, peer_id: str, now_ms: float) -> None:
         """Record a peer's acknowledgement; from now on it has until the goal to reply.
 
         Failure: the peer dies after its acknowledgement. Without a second deadline the request
         would wait for its reply until the caller gives up.
         """
-        delegation = self._open.get(number)
+        delegation = self.find(number, peer_id)
         if delegation is None or delegation.is_acknowledged:
             return
         delegation.is_acknowledged = True
@@ -177,22 +193,23 @@
         delegation.due_ms = due_ms
         self._wakes.add(due_ms, delegation.number)
 
-    def handle_reply(self, number: int, reply: DelegatedReply, now_ms: float) -> Delegation | None:
-        """Return the delegation that a reply is for; the final reply removes it.
+    def handle_reply(self, reply: DelegatedReply, peer_id: str, now_ms: float) -> Delegation | None:
+        """Return the delegation that a peer's reply is for; the final reply removes it.
 
         The delay of partial replies determines how much earlier peers have to send them.
         """
+        delegation = self.find(reply.number, peer_id)
+        if delegation is None:
+            return None
         if reply.is_final:
-            delegation = self.pop(number)
-            if delegation is not None and reply.is_declined:
+            self.pop(reply.number)
+            if reply.is_declined:
                 delegation.peer.declined_ms = now_ms
             return delegation
-        delegation = self._open.get(number)
-        if delegation is not None:
-            delegation.is_acknowledged = True
-            delegation.due_ms = float("inf")
-            late_ms = PEER_PROCESSING_MS + now_ms - delegation.partial_reply_due_ms
-            self._reply_delay.record(late_ms, now_ms)
+        delegation.is_acknowledged = True
+        delegation.due_ms = float("inf")
+        late_ms = PEER_PROCESSING_MS + now_ms - delegation.partial_reply_due_ms
+        self._reply_delay.record(late_ms, now_ms)
         return delegation
 
     def pop(self, number: int) -> Delegation | None:
@@ -258,8 +275,7 @@
     def _address_message(
         self, delegation: Delegation, message: PeeringMessage
     ) -> OutgoingPeerMessage:
-        contact = delegation.peer.contact
-        return OutgoingPeerMessage(contact.instance_id, contact.address, message)
+        return delegation.peer.address_message(message, delegation.peer_incarnation)
 
 
 def find_delegated_route(message: DelegatedRequest, configuration) -> Route | None:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/events.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/events.py
@@ -5,7 +5,7 @@
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.results import AttemptResult
 from geraniumlead.forwarding.updates import PublishedUpdate
-from geraniumlead.peering import PeeringMessage
+from geraniumlead.peering import NO_ENVELOPE, Envelope, PeeringMessage
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,12 +58,13 @@
     """A message of another instance was received.
 
     ``way_ms`` is how long ago it left by the time of day, where the message tells; the times of
-    day of two machines may differ.
+    day of two machines may differ. ``envelope`` names the processes that it is from and for.
     """
 
     sender_id: str
     message: PeeringMessage
     way_ms: float | None = None
+    envelope: Envelope = NO_ENVELOPE
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
@@ -23,10 +23,18 @@
 from geraniumlead.published_upstreams import UpstreamView
 from geraniumlead.settings.forwarding_settings import ForwardingSettings
 
-INCARNATION_BITS = 48
+MAX_INCARNATION = 2**32 - 1
+"""Largest incarnation. Only the processes of one instance have to differ, and each message carries
+two of them."""
+
 NOT_FOUND = 404
 
 
+def draw_incarnation(random: Random) -> int:
+    """Return an incarnation for a process that starts."""
+    return random.randint(1, MAX_INCARNATION)
+
+
 class Forwarder:
     """A state machine that forwards the opaque requests of one instance.
 
@@ -48,13 +56,25 @@
         "store_watch",
     )
 
-    def __init__(self, settings: ForwardingSettings, random: Random, now_ms: float = 0.0) -> None:
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        random: Random,
+        now_ms: float = 0.0,
+        incarnation: int | None = None,
+    ) -> None:
+        """Create the forwarder of one process.
+
+        ``incarnation`` identifies the process. Without one it is drawn from ``random``, as in
+        simulated runs: a process that restarts with the same seed would draw the same again.
+        """
         self._settings = settings
         self._actions: list[ForwardingAction] = []
         upstream_view = UpstreamView()
         self._retry_after = RetryAfter(random)
         contact = PeerContact(settings.instance_id, settings.address, settings.data_centre)
-        incarnation = random.getrandbits(INCARNATION_BITS)
+        if incarnation is None:
+            incarnation = draw_incarnation(random)
         directory = PeerDirectory(
             contact, settings.seeds, incarnation, random, now_ms, settings.regions
         )
@@ -70,6 +90,11 @@
         self._is_isolated = False
         self._is_informed = directory.is_informed(now_ms)
 
+    @property
+    def incarnation(self) -> int:
+        """Return the incarnation of this process."""
+        return self._peers.directory.incarnation
+
     @property
     def is_ready(self) -> bool:
         """Return whether the load balancer may send requests to this instance."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -67,7 +67,9 @@
         self._guard = CrashGuard(self.crashes, actions)
         self._sender = SubrequestSender(self._tracker, self._guard)
         planner = DelegationPlanner(settings, upstream_view, directory, random)
-        self.delegated = DelegatedSubrequests(planner, self._sender, actions, directory.own_contact)
+        self.delegated = DelegatedSubrequests(
+            planner, self._sender, actions, directory.own_contact, directory.incarnation
+        )
         self._open: dict[int, OpenRequest] = {}
         self._wakes = WakeTimes()
         self._services = RequestServices(random)
@@ -176,6 +178,11 @@
             self._schedule_subrequest_check(subrequest, now_ms)
         self._send_waiting(subrequest.service, now_ms)
 
+    def find_request_id(self, key: int) -> str | None:
+        """Return the request id of an open request; None if it has ended."""
+        open_request = self._open.get(key)
+        return None if open_request is None else open_request.request.request_id
+
     def mark_hedged(self, key: int) -> None:
         """Record that the peer that delegated a request queries its shards as well."""
         open_request = self._open.get(key)
@@ -306,8 +313,8 @@
         self._cancel_all(open_request, now_ms)
         self._report_crashes(open_request, now_ms)
         if open_request.request.is_delegated:
-            sender_id = self.delegated.send_final_reply(open_request)
-            self._log(open_request, f"for {sender_id}", None, now_ms)
+            receiver = self.delegated.send_final_reply(open_request)
+            self._log(open_request, f"for {receiver.instance_id}", None, now_ms)
             return
         reply = decide_reply(open_request, reason, self._retry_after.draw())
         self._actions.append(SendReply(open_request.request.key, reply))
--- a/packages/geraniumlead/src/geraniumlead/peering/directory.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/directory.py
@@ -2,13 +2,15 @@
 from heapq import nlargest
 from random import Random
 
-from geraniumlead.clocks import ClockOffset
 from geraniumlead.peering.contact_selector import ContactSelector
+from geraniumlead.peering.envelope import Envelope
 from geraniumlead.peering.heartbeat_rings import PEERS_PER_HEARTBEAT, HeartbeatRings
 from geraniumlead.peering.highest_count import HighestCount
 from geraniumlead.peering.known_peer import KnownPeer
-from geraniumlead.peering.messages import Goodbye, Hello, PeerContact
+from geraniumlead.peering.messages import Goodbye, Hello, PeerContact, PeeringMessage
 from geraniumlead.peering.outgoing_peer_message import SEED_PREFIX, OutgoingPeerMessage
+from geraniumlead.peering.process_id import UNKNOWN_INCARNATION, ProcessId
+from geraniumlead.peering.process_match import ProcessMatch
 
 HEARTBEAT_INTERVAL_MS = 1_000.0
 """Time between two heartbeats; each is a hello of some 150 bytes to a few peers."""
@@ -57,6 +59,7 @@
         "_incarnation",
         "_next_heartbeat_ms",
         "_random",
+        "_replaced",
         "_rings",
         "_seeds",
         "_started_ms",
@@ -83,6 +86,7 @@
         self._contact_selector = ContactSelector(random)
         self._has_heard_peer = False
         self._random = random
+        self._replaced: list[ProcessId] = []
         self.peers: dict[str, KnownPeer] = {}
         self.crash_digest = 0
 
@@ -96,6 +100,47 @@
         """Return the name of this instance."""
         return self._contact.instance_id
 
+    @property
+    def incarnation(self) -> int:
+        """Return the incarnation of this process."""
+        return self._incarnation
+
+    def match_processes(
+        self, sender_id: str, message: PeeringMessage, envelope: Envelope, now_ms: float
+    ) -> ProcessMatch:
+        """Return between which processes a message was sent; note a new process of its sender.
+
+        A process is new until another one has replaced it. A message to an earlier process of this
+        instance may itself be of an earlier one of its sender, so it replaces none.
+
+        Failure: the first message of a process comes later than that of its successor, which is
+        then taken for the earlier one. It proves that it runs by the echo of a later hello.
+        """
+        is_for_earlier = envelope.receiver not in (UNKNOWN_INCARNATION, self._incarnation)
+        peer = self.peers.get(sender_id)
+        incarnation = _sender_incarnation(message, envelope)
+        match = ProcessMatch.FOR_EARLIER if is_for_earlier else ProcessMatch.PRESENT
+        if peer is None or incarnation in (UNKNOWN_INCARNATION, peer.incarnation):
+            return match
+        if is_for_earlier and peer.incarnation != UNKNOWN_INCARNATION:
+            return ProcessMatch.FROM_EARLIER
+        is_earlier = incarnation in peer.earlier_incarnations
+        if is_earlier and not _echoes_since(message, peer.replaced_ms):
+            return ProcessMatch.FROM_EARLIER
+        if not isinstance(message, Hello):
+            self._record_process(peer, incarnation, now_ms)
+        return match
+
+    def drain_replaced(self) -> list[ProcessId]:
+        """Return the processes of peers that others have replaced, and clear the list."""
+        replaced, self._replaced = self._replaced, []
+        return replaced
+
+    def should_introduce(self, instance_id: str, now_ms: float) -> bool:
+        """Return whether a peer that takes this process for another one gets a hello now."""
+        peer = self.peers.get(instance_id)
+        return peer is not None and now_ms - peer.hello_sent_ms >= SEED_HELLO_INTERVAL_MS
+
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the addresses of the seeds."""
         self._seeds = tuple(address for address in seeds if address != self._contact.address)
@@ -219,7 +264,7 @@
         hello = self._create_hello_message(peer, version, is_ready, now_ms)
         peer.hello_sent_ms = now_ms
         peer.asks_names = False
-        return OutgoingPeerMessage(peer.contact.instance_id, peer.contact.address, hello)
+        return peer.address_message(hello)
 
     def handle_hello(self, hello: Hello, now_ms: float) -> list[KnownPeer]:
         """Update the directory from a hello; return the peers that need a hello at once."""
@@ -236,10 +281,9 @@
         peer.contact = hello.contact
         peer.latest_hello_ms = now_ms
         if peer.incarnation != hello.incarnation:
-            is_restart = peer.incarnation != 0
-            peer.incarnation = hello.incarnation
-            peer.started_ms = now_ms if is_restart else now_ms - hello.running_ms
-            peer.clock_offset = ClockOffset()
+            if peer.incarnation == UNKNOWN_INCARNATION:
+                peer.started_ms = now_ms - hello.running_ms
+            self._record_process(peer, hello.incarnation, now_ms)
         peer.clock_offset.record(hello.sent_ms, now_ms)
         peer.version = hello.version
         peer.is_ready = hello.is_ready
@@ -273,10 +317,7 @@
         """
         message = Goodbye(self._incarnation)
         receivers = nlargest(MAX_GOODBYES, self.live(now_ms), key=lambda peer: peer.echoed_ms)
-        return [
-            OutgoingPeerMessage(peer.contact.instance_id, peer.contact.address, message)
-            for peer in receivers
-        ]
+        return [peer.address_message(message) for peer in receivers]
 
     @property
     def _is_large_fleet(self) -> bool:
@@ -295,6 +336,11 @@
             return [self._random.choice(self._seeds)]
         return unknown
 
+    def _record_process(self, peer: KnownPeer, incarnation: int, now_ms: float) -> None:
+        if peer.incarnation != UNKNOWN_INCARNATION:
+            self._replaced.append(ProcessId(peer.contact.instance_id, peer.incarnation))
+        peer.record_process(incarnation, now_ms)
+
     def _is_starting(self, now_ms: float) -> bool:
         return now_ms - self._started_ms < STARTUP_MS
 
@@ -367,3 +413,19 @@
             running_ms=now_ms - self._started_ms,
             crash_digest=self.crash_digest,
         )
+
+
+def _sender_incarnation(message: PeeringMessage, envelope: Envelope) -> int:
+    """Return the incarnation of a message's sender, as far as the message tells."""
+    match message:
+        case Hello(incarnation=incarnation) | Goodbye(incarnation=incarnation):
+            return incarnation
+    return envelope.sender
+
+
+def _echoes_since(message: PeeringMessage, since_ms: float) -> bool:
+    """Return whether a hello shows that its sender has received one sent later than a time."""
+    match message:
+        case Hello(echo_ms=float(echo_ms)):
+            return echo_ms > since_ms
+    return False
--- a/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/known_peer.py
@@ -2,12 +2,18 @@
 from dataclasses import dataclass, field
 
 from geraniumlead.clocks import ClockOffset
-from geraniumlead.peering.messages import PeerContact
+from geraniumlead.peering.messages import PeerContact, PeeringMessage
+from geraniumlead.peering.outgoing_peer_message import OutgoingPeerMessage
+from geraniumlead.peering.process_id import UNKNOWN_INCARNATION, ProcessId
 
 DELAY_SAMPLES = 8
 """Number of hellos whose delays are kept, some eight seconds. A delay that has increased counts
 after that time, and a restart, which takes a second or two, never fills the whole window."""
 
+EARLIER_PROCESSES = 8
+"""Number of earlier processes of a peer that are remembered; a message waits for seconds at most,
+and an instance does not restart more often meanwhile."""
+
 DEFAULT_DELAY_MS = 40.0
 """One-way delay assumed before the first sample; the longest between data centres is 20 ms."""
 
@@ -25,7 +31,8 @@
     peer has received. ``silent_since_ms`` is when the peer failed to respond in time; None once
     it has responded or echoed a later hello. ``count`` is how many instances the peer
     knows. ``started_ms`` is when its current process started, or, after a restart, when its first
-    hello came. ``latest_clock_ms`` is the peer's clock in its latest hello. ``clock_offset``
+    hello came. ``replaced_ms`` is when this instance first heard of that process, if it knew an
+    earlier one. ``latest_clock_ms`` is the peer's clock in its latest hello. ``clock_offset``
     compares the clocks by the messages of its current process. ``assumed_delay_ms`` is the delay
     to other peers of its data centre.
 
@@ -40,7 +47,11 @@
     hello_sent_ms: float = float("-inf")
     echoed_ms: float = float("-inf")
     silent_since_ms: float | None = None
-    incarnation: int = 0
+    incarnation: int = UNKNOWN_INCARNATION
+    earlier_incarnations: deque[int] = field(
+        default_factory=lambda: deque(maxlen=EARLIER_PROCESSES)
+    )
+    replaced_ms: float = float("-inf")
     started_ms: float = float("-inf")
     left_incarnation: int | None = None
     version: int = 0
@@ -54,6 +65,11 @@
     open_delegations: int = 0
     declined_ms: float = float("-inf")
 
+    @property
+    def process(self) -> ProcessId:
+        """Return the present process of the peer."""
+        return ProcessId(self.contact.instance_id, self.incarnation)
+
     @property
     def has_left(self) -> bool:
         """Return whether the last known process of the peer sent a goodbye."""
@@ -77,6 +93,34 @@
         """Return the time within which the peer acknowledges a request."""
         return 2.0 * self.estimated_delay_ms + ACKNOWLEDGEMENT_SLACK_MS
 
+    def address_message(
+        self, message: PeeringMessage, receiver_incarnation: int | None = None
+    ) -> OutgoingPeerMessage:
+        """Return a message to the present process of the peer, or to the given one."""
+        if receiver_incarnation is None:
+            receiver_incarnation = self.incarnation
+        return OutgoingPeerMessage(
+            self.contact.instance_id,
+            self.contact.address,
+            message,
+            receiver_incarnation=receiver_incarnation,
+        )
+
+    def record_process(self, incarnation: int, now_ms: float) -> None:
+        """Record which process of the peer runs now.
+
+        What was known of the earlier one's clock says nothing of the clock of this one, whose
+        machine may have restarted.
+        """
+        if self.incarnation != UNKNOWN_INCARNATION:
+            self.earlier_incarnations.append(self.incarnation)
+            self.replaced_ms = self.started_ms = now_ms
+        if incarnation in self.earlier_incarnations:
+            self.earlier_incarnations.remove(incarnation)
+        self.incarnation = incarnation
+        self.latest_clock_ms = None
+        self.clock_offset = ClockOffset()
+
     def extra_delay_ms(self, sent_ms: float, now_ms: float) -> float:
         """Return how much longer a message took than the quickest; 0 before any message."""
         return max(0.0, now_ms - sent_ms - self.clock_offset.least_ms)
--- a/packages/geraniumlead/src/geraniumlead/peering/outgoing_peer_message.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/outgoing_peer_message.py
@@ -1,6 +1,7 @@
 from dataclasses import dataclass
 
 from geraniumlead.peering.messages import PeeringMessage
+from geraniumlead.peering.process_id import UNKNOWN_INCARNATION
 
 SEED_PREFIX = "seed "
 """Prefix of the name of a receiver of which only the address is known yet."""
@@ -8,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OutgoingPeerMessage:
-    """A message to a peer together with its address.
+    """A message to a peer together with its address and the process that it is for.
 
     It may be lost, and the transport does not send it again.
     """
@@ -17,3 +18,4 @@
     address: str
     message: PeeringMessage
     public_key: str = ""
+    receiver_incarnation: int = UNKNOWN_INCARNATION
--- a/packages/geraniumlead/tests/core_tests/forwarding/fleet_harness.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/fleet_harness.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Sequence
+from random import Random
 
 from core_tests.forwarding.builders import build_answer, build_settings
 from core_tests.forwarding.harness import ForwarderHarness
@@ -11,12 +12,18 @@
     PublishedUpdates,
     StartAttempt,
 )
-from geraniumlead.peering import PeeringMessage, decode_peering, encode_peering
+from geraniumlead.peering import (
+    NO_ENVELOPE,
+    decode_peering,
+    encode_envelope,
+    encode_peering,
+)
 from geraniumlead.peering.outgoing_peer_message import OutgoingPeerMessage
 
 HIGH = bytes([9]) * 16
 SEED_ADDRESS = "10.0.0.1:1"
 STEP_MS = 10.0
+DOUBLED_SHARE = 0.05
 
 
 def address_of(number: int) -> str:
@@ -27,7 +34,9 @@
     """One forwarder for each of the given data centres, by address.
 
     Messages from and to the addresses in ``silent`` are lost. Messages from an address in
-    ``slow_ms`` are delayed by that time.
+    ``slow_ms`` are delayed by that time. With ``disorder`` each message takes a random time of up
+    to ``max_delay_ms``, so that later ones overtake it, and some come twice. The addresses in
+    ``older`` run a version whose messages have no envelope.
     """
 
     def __init__(self, data_centres: Sequence[str], **settings) -> None:
@@ -48,8 +57,11 @@
             self.members[address] = ForwarderHarness(self._settings[address], seed=number + 1)
         self.silent: set[str] = set()
         self.slow_ms: dict[str, float] = {}
+        self.disorder: Random | None = None
+        self.max_delay_ms = 0.0
+        self.older: set[str] = set()
         self.sent_bytes: dict[str, int] = defaultdict(int)
-        self._delayed: list[tuple[float, str, str, PeeringMessage]] = []
+        self._delayed: list[tuple[float, str, PeerMessageReceived]] = []
 
     def publish(self, updates: PublishedUpdates) -> None:
         for member in self.members.values():
@@ -115,19 +127,30 @@
         if address in self.silent or outgoing.address in self.silent:
             return
         data = encode_peering(outgoing.message)
-        self.sent_bytes[address] += len(data)
-        message = decode_peering(data)
+        envelope = self.members[address].envelope_for(outgoing)
+        self.sent_bytes[address] += len(data) + len(encode_envelope(envelope))
+        event = PeerMessageReceived(
+            self._names[address],
+            decode_peering(data),
+            envelope=NO_ENVELOPE if address in self.older else envelope,
+        )
+        for late_ms in self._draw_delays_ms(address):
+            if late_ms:
+                due_ms = self.now_ms + late_ms
+                self._delayed.append((due_ms, outgoing.address, event))
+            else:
+                self.members[outgoing.address].handle(event)
+
+    def _draw_delays_ms(self, address: str) -> list[float]:
+        """Return the delay of each copy of a message that arrives."""
         late_ms = self.slow_ms.get(address, 0.0)
-        if late_ms:
-            due_ms = self.now_ms + late_ms
-            self._delayed.append((due_ms, outgoing.address, self._names[address], message))
-        else:
-            self.members[outgoing.address].handle(
-                PeerMessageReceived(self._names[address], message)
-            )
+        if self.disorder is None:
+            return [late_ms]
+        copies = 2 if self.disorder.random() < DOUBLED_SHARE else 1
+        return [late_ms + self.disorder.uniform(0.0, self.max_delay_ms) for _ in range(copies)]
 
     def _deliver_late(self) -> None:
         due = [entry for entry in self._delayed if entry[0] <= self.now_ms]
         self._delayed = [entry for entry in self._delayed if entry[0] > self.now_ms]
-        for _, address, sender_id, message in sorted(due, key=lambda entry: entry[0]):
-            self.members[address].handle(PeerMessageReceived(sender_id, message))
+        for _, address, event in sorted(due, key=lambda entry: entry[0]):
+            self.members[address].handle(event)
--- a/packages/geraniumlead/tests/core_tests/forwarding/harness.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/harness.py
@@ -16,6 +16,7 @@
     StartAttempt,
     TimePassed,
 )
+from geraniumlead.peering import Envelope
 from geraniumlead.peering.outgoing_peer_message import OutgoingPeerMessage
 
 
@@ -55,6 +56,10 @@
         self.started += started
         return started
 
+    def envelope_for(self, outgoing: OutgoingPeerMessage) -> Envelope:
+        """Return the envelope of a message of this process."""
+        return Envelope(self.forwarder.incarnation, outgoing.receiver_incarnation)
+
     def handed_ms(self) -> list[float]:
         """Return the time that each attempt so far would be handed if it were written now."""
         return [attempt.deadline.left_ms(self.now_ms) for attempt in self.started]
