Draw a process's incarnation from the system, not from the settings' seed

With a seed in the settings a process that restarts drew the same incarnation again, so its peers took it for the process that was gone: its late messages counted, its requests went on, and it was trusted at once. The query interface takes its own from the system for the same reason. Request ids are the callers' and were never drawn.

Evidence: test_a_process_that_starts_from_the_same_seed_is_another_one; with the seed's generator in place of the system's both starts log the same incarnation.

--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -95,7 +95,8 @@
     async def run(self) -> None:
         """Serve, and return after a graceful stop."""
         self._loop = asyncio.get_running_loop()
-        self._incarnation = draw_incarnation(self._random)
+        # Not drawn from the seed: a process that restarts with it has to differ from the earlier.
+        self._incarnation = draw_incarnation(SystemRandom())
         forwarder = Forwarder(
             self._settings.to_forwarding_settings(),
             self._random,
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_restarted_process.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_restarted_process.py
@@ -4,7 +4,7 @@
 from unittest import IsolatedAsyncioTestCase
 
 from geraniumlead_standins.forwarding import StubUpstream
-from server_tests.forwarding.platform_process import HOST, PlatformProcess
+from server_tests.forwarding.platform_process import HOST, MAX_WAIT_S, PlatformProcess
 
 SEARCH_ROUTE = {
     "name": "search",
@@ -32,7 +32,7 @@
 
     async def asyncSetUp(self):
         seeds: list[str] = []
-        self.first = PlatformProcess(data_centres=REGIONS, seeds=seeds)
+        self.first = PlatformProcess(data_centres=REGIONS, seed=1, seeds=seeds)
         self.first.shards += [StubUpstream(f"i-shard-{number}") for number in (7, 9)]
         self.addAsyncCleanup(self.first.stop)
         await self.first.start()
@@ -63,6 +63,15 @@
         status, headers, _ = await self.first.send_request("/search/x", headers=headers)
         return headers["Part-Stamps"].split(", ") if status == 200 else []
 
+    async def started_incarnations(self, count: int) -> set[int]:
+        """Return the incarnations that the first instance has logged, after so many starts."""
+        async with asyncio.timeout(MAX_WAIT_S):
+            while True:
+                lines = [line for line in self.first.read_log() if line["event"] == "started"]
+                if len(lines) == count:
+                    return {line["incarnation"] for line in lines}
+                await asyncio.sleep(0.01)
+
     async def test_the_data_of_an_earlier_process_is_not_handed_out(self):
         """Guards against a late reply that is taken for the reply to a new process's query."""
         lost = asyncio.gather(self.query("lost"), return_exceptions=True)
@@ -78,3 +87,10 @@
             self.assertTrue(signature.endswith(".new"), signature)
         errors = [line for line in self.second.read_log() if line["level"] == "error"]
         self.assertEqual([], errors)
+
+    async def test_a_process_that_starts_from_the_same_seed_is_another_one(self):
+        """Guards against a restart that nobody notices, since the setting of a seed repeats all."""
+        self.first.process.kill()
+        await self.first.process.wait()
+        await self.first.start_daemon()
+        self.assertEqual(2, len(await self.started_incarnations(2)))
