End only the event that raises an exception, and log it with its request

An exception in a timer of the forwarder left no timer behind: requests that were due met no timeout until some other event came, and the caller of the one that failed got no answer. One in an answer of an upstream ended that connection's task, one in the message of a peer went out of the receive loop. It was logged by the event loop without its request and counted nowhere.

Change: the driver ends the event, logs event_failed with the request's id, counts it (geraniumlead_failed_events), carries out what was decided before, and arms the timer again, after a pause of 100 ms in case the same event is due at once. The caller of a request that failed gets an error.

--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_driver.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_driver.py
@@ -14,11 +14,15 @@
     Reply,
     ReplyWritten,
     RequestArrived,
+    RequestCheckError,
     SendReply,
     TimePassed,
 )
 from geraniumlead.routes import RequestLimits
 
+FAILED_EVENT_PAUSE_MS = 100.0
+"""Shortest time from an event that failed to the next timer."""
+
 logger = logging.getLogger("geraniumlead")
 
 
@@ -38,6 +42,7 @@
         self._pending_replies: dict[int, asyncio.Future] = {}
         self._decided_ms: dict[int, float] = {}
         self._last_key = 0
+        self.failed_events = 0
 
     @property
     def limits(self) -> RequestLimits:
@@ -55,9 +60,41 @@
         return self._last_key
 
     def handle(self, event: ForwardingEvent) -> None:
-        """Pass one event to the forwarder and carry out the resulting actions."""
-        self.carry_out_all(self.forwarder.handle(event, self.now_ms()))
-        self._arm_timer()
+        """Pass one event to the forwarder and carry out the resulting actions.
+
+        Failure: an event raises an exception. It ends that event alone: what else is due at the
+        same time is handled after a pause, since the same event might be due again at once.
+        """
+        earliest_ms = float("-inf")
+        try:
+            actions = self.forwarder.handle(event, self.now_ms())
+        except Exception as error:
+            self._record_failure(event, error)
+            actions = self.forwarder.drain_actions()
+            earliest_ms = self.now_ms() + FAILED_EVENT_PAUSE_MS
+        self.carry_out_all(actions)
+        self._arm_timer(earliest_ms)
+
+    def _record_failure(self, event: ForwardingEvent, error: Exception) -> None:
+        """Log an event that ended with an exception, and count it.
+
+        A caller whose request it was gets an error, since nothing else would end the request.
+        """
+        self.failed_events += 1
+        fields: dict = {"failed": type(event).__name__}
+        match event, error:
+            case RequestArrived(request=request), _:
+                fields["request_id"] = request.request_id
+                self._fail_reply(request.key, error)
+            case _, RequestCheckError(key=key, request_id=request_id):
+                fields["request_id"] = request_id
+                self._fail_reply(key, error)
+        logger.error("event_failed", exc_info=error, extra={"fields": fields})
+
+    def _fail_reply(self, key: int, error: Exception) -> None:
+        future = self._pending_replies.pop(key, None)
+        if future is not None and not future.done():
+            future.set_exception(error)
 
     def submit(self, request: ForwardedRequest) -> asyncio.Future:
         """Pass a request to the forwarder and return a future for its reply."""
@@ -95,8 +132,8 @@
             self._decided_ms[key] = self.now_ms()
             future.set_result(reply)
 
-    def _arm_timer(self) -> None:
-        due_ms = self.forwarder.next_wake_ms()
+    def _arm_timer(self, earliest_ms: float) -> None:
+        due_ms = max(earliest_ms, self.forwarder.next_wake_ms())
         if due_ms == self._timer_due_ms:
             return
         if self._timer is not None:
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
@@ -23,7 +23,11 @@
     """Counts requests by route and status, and records their latencies by route."""
 
     def __init__(
-        self, forwarder: Forwarder, reader: MetricReader, now_ms: Callable[[], float]
+        self,
+        forwarder: Forwarder,
+        reader: MetricReader,
+        now_ms: Callable[[], float],
+        read_failed_events: Callable[[], int] = int,
     ) -> None:
         self._forwarder = forwarder
         self._now_ms = now_ms
@@ -56,6 +60,11 @@
             description="messages of or for a process of an instance that is gone",
         )
         self._missing = meter.create_counter("geraniumlead_missing_shards")
+        meter.create_observable_counter(
+            "geraniumlead_failed_events",
+            callbacks=[_build_callback(read_failed_events)],
+            description="events that ended with an exception",
+        )
         self._view_changes = meter.create_counter("geraniumlead_view_changes")
         for name, read in (
             ("geraniumlead_open_requests", lambda: forwarder.open_requests),
@@ -65,7 +74,7 @@
             ("geraniumlead_crash_suspects", lambda: forwarder.crash_suspects),
             ("geraniumlead_store_lost", lambda: int(forwarder.published.is_store_lost)),
         ):
-            meter.create_observable_gauge(name, callbacks=[_build_gauge_callback(read)])
+            meter.create_observable_gauge(name, callbacks=[_build_callback(read)])
 
     def observe(self, decision: LogDecision) -> None:
         """Record one decision."""
@@ -112,7 +121,7 @@
         return 0 if configuration is None else configuration.version
 
 
-def _build_gauge_callback(read):
+def _build_callback(read):
     def observe(options: CallbackOptions):
         return [Observation(read())]
 
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -173,7 +173,12 @@
         from geraniumlead_server.forwarding_telemetry.page import MetricsPage
 
         page = MetricsPage()
-        metrics = ForwardingMetrics(self._driver.forwarder, page.reader, self._driver.now_ms)
+        metrics = ForwardingMetrics(
+            self._driver.forwarder,
+            page.reader,
+            self._driver.now_ms,
+            lambda: self._driver.failed_events,
+        )
         self._driver.observers.append(metrics.observe)
         address = self._settings.listen.metrics
         server = WebServer.from_address(page, address, MAX_OTHER_CONNECTIONS)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/__init__.py
@@ -24,6 +24,7 @@
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.forwarder import Forwarder, draw_incarnation
 from geraniumlead.forwarding.replies import MergedReply, OwnReply, RelayedReply, Reply
+from geraniumlead.forwarding.request_check_error import RequestCheckError
 from geraniumlead.forwarding.results import (
     AttemptResult,
     Completed,
@@ -69,6 +70,7 @@
     "Reply",
     "ReplyWritten",
     "RequestArrived",
+    "RequestCheckError",
     "SendReply",
     "StartAttempt",
     "StoreLost",
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarder.py
@@ -148,7 +148,7 @@
         self._runner.wake(now_ms)
         self._check_isolation(now_ms)
         self._peers.wake(now_ms, self.is_ready)
-        return self._drain_actions()
+        return self.drain_actions()
 
     def next_wake_ms(self) -> float:
         """Return when ``handle`` needs TimePassed, unless another event comes first."""
@@ -165,12 +165,12 @@
         """Become not ready and notify peers; open requests continue."""
         self.is_stopping = True
         self._peers.send_goodbye(now_ms)
-        return self._drain_actions()
+        return self.drain_actions()
 
     def end_all(self, now_ms: float) -> list[ForwardingAction]:
         """End all open requests with a reply, because the process is about to exit."""
         self._runner.end_all(now_ms)
-        return self._drain_actions()
+        return self.drain_actions()
 
     def _check_isolation(self, now_ms: float) -> None:
         """Detect and log when this instance is isolated from all upstreams, and when that ends."""
@@ -204,8 +204,11 @@
         self._actions.append(LogDecision("request", fields, "warning"))
         self._actions.append(SendReply(request.key, reply))
 
-    def _drain_actions(self) -> list[ForwardingAction]:
-        """Remove and return the pending actions, with replies to peers as addressed messages."""
+    def drain_actions(self) -> list[ForwardingAction]:
+        """Remove and return the pending actions, with replies to peers as addressed messages.
+
+        Besides those that ``handle`` returns there are some only after it has failed.
+        """
         actions = [self._peers.address_reply(action) for action in self._actions]
         self._actions.clear()
         return [action for action in actions if action is not None]
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -13,6 +13,7 @@
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.open_request import OpenRequest, Subrequest
 from geraniumlead.forwarding.processing_delay import ProcessingDelay
+from geraniumlead.forwarding.request_check_error import RequestCheckError
 from geraniumlead.forwarding.request_log import describe_request
 from geraniumlead.forwarding.request_services import RequestServices
 from geraniumlead.forwarding.results import AttemptResult
@@ -205,7 +206,7 @@
             if open_request is not None and open_request.next_check_ms == due_ms:
                 open_request.next_check_ms = NEVER_MS
                 self.processing_delay.record_timer(now_ms - due_ms, now_ms)
-                self._check(open_request, now_ms)
+                self._check_or_end(open_request, now_ms)
 
     def next_wake_ms(self) -> float:
         """Return when ``wake`` has to be called next."""
@@ -225,6 +226,15 @@
         for subrequest in self._sender.send_waiting(service, now_ms):
             self._schedule_subrequest_check(subrequest, now_ms)
 
+    def _check_or_end(self, open_request: OpenRequest, now_ms: float) -> None:
+        """Check a request. Raise RequestCheckError if that fails: the request ends."""
+        request = open_request.request
+        try:
+            self._check(open_request, now_ms)
+        except Exception as error:
+            self._open.pop(request.key, None)
+            raise RequestCheckError(request.key, request.request_id) from error
+
     def _check(self, open_request: OpenRequest, now_ms: float) -> None:
         """End a request that has timed out, or hedge its late subrequests."""
         if now_ms >= open_request.end_ms:
