Tell outages of the store from restarts and from one instance's failed calls

Cause: the first whole read of a process, any later whole read, and any answer after one failed call counted as the return of the store from an outage. For 3 s after it each update that the instance relayed told its peers so, each such message began their hold of removals (2.2 s) anew, and the hold and the pause between two reads together pass the bound.

Change: one place (StoreReadState) decides. An outage is a time in which nobody is known to have got an answer for 2.5 s, by failed calls here, or by a peer that had such and that no answer known here contradicts; the silence of those who read the store is a suspicion, and holds removals no longer than the bound allows. A message says how long ago the store returned, so a hold ends once, however many messages tell of it and however late. Each cause is logged and counted (store_returned, geraniumlead_store_returns).

Two things came up in the tests of the other direction. The hold was often long enough only since each message began it anew: where the pause between two reads is longer than it (bound 8 s), live upstreams that were back in the store were forgotten until the next read. A held removal now waits for a read of a later time, and that read is made when the hold ends. And an outage in which no instance happened to make a call was noticed by nobody; that is the suspicion.

Tests that said otherwise: readers were told of an outage after failed calls of 0.3 s; now after 2.7 s, and it is tested that 0.3 s are not told. The reader behind a gap is told of an outage that its own knowledge does not contradict. The outage that counts from the last answer is tested where it is decided now.

Evidence: test_store_returns, 5 to 195 instances in virtual time, bounds 3 s and 8 s. On the old code the removals came after 3.31 to 3.49 s beside restarts, 4.47 to 4.57 s beside a forgotten history, 5.14 to 6.09 s beside a cut reader (there the cut reader itself was judged, too; it no longer is).

--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/decision_log.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/decision_log.py
@@ -19,6 +19,7 @@
         "published",
         "store_lost",
         "store_regained",
+        "store_returned",
     }
 )
 """Changes of the state that an instance as a whole observes: a few lines a second at most, all of
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
@@ -8,6 +8,7 @@
 
 from geraniumlead.forwarding import Forwarder, LogDecision
 from geraniumlead.forwarding.peer_message_handler import MESSAGE_DROPPED
+from geraniumlead.forwarding.published_state import STORE_RETURNED
 from geraniumlead_server.forwarding_telemetry.bounds import LATENCY_BOUNDS_MS
 
 MAX_LABELLED_ROUTES = 200
@@ -59,6 +60,10 @@
             "geraniumlead_peer_messages_dropped",
             description="messages of or for a process of an instance that is gone",
         )
+        self._returns = meter.create_counter(
+            "geraniumlead_store_returns",
+            description="reads of the store that look like the end of an outage",
+        )
         self._missing = meter.create_counter("geraniumlead_missing_shards")
         meter.create_observable_counter(
             "geraniumlead_failed_events",
@@ -82,6 +87,9 @@
         if decision.name in CRASH_EVENTS:
             self._crashes.add(1, {"event": decision.name})
             return
+        if decision.name == STORE_RETURNED:
+            self._returns.add(1, {"cause": fields["cause"]})
+            return
         if decision.name == MESSAGE_DROPPED:
             self._dropped.add(1, {"kind": fields["kind"], "reason": fields["reason"]})
             return
--- a/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/store_follower.py
@@ -9,8 +9,9 @@
 
 from geraniumlead.forwarding import PublishedUpdates, StoreLost
 from geraniumlead.forwarding.updates import PublishedUpdate
-from geraniumlead.peering import StoreReadState, StoreReadTiming, StoreUpdates
+from geraniumlead.peering import StoreReadState, StoreReadTiming, StoreReturn, StoreUpdates
 from geraniumlead.peering.store_read_timing import SHORT_WATCH_MS, UPDATE_TIMEOUT_JITTER
+from geraniumlead.published_upstreams import LAPSE_HOLD_MS
 from geraniumlead_server.backoff import Backoff
 from geraniumlead_server.platform import (
     HistoryGoneError,
@@ -31,6 +32,17 @@
 """Longest pause between calls while the store has just come back and a service has no upstream:
 callers are refused until the entries that had expired are there again."""
 
+HOLD_SLACK_MS = 100.0
+"""Time from the end of the hold of removals after an outage to the read that decides about them.
+Peers know the end of the hold only to some milliseconds."""
+
+MAX_CONFIRMATION_SPREAD_S = 0.3
+"""Spread of the reads of instances that do not watch at the end of a hold: usually a watcher reads
+before them and relays the result."""
+
+OWN_SOURCE = "store"
+"""Source of updates that this instance has read from the store itself."""
+
 logger = logging.getLogger("geraniumlead")
 
 
@@ -73,11 +85,10 @@
         self._loop = asyncio.get_running_loop()
         self._backoff = Backoff(random, self._timing.max_retry_ms / 1000.0)
         self._revision: int | None = None
-        self._call_state = StoreReadState()
+        self._call_state = StoreReadState(bound_ms)
         self._is_history_gone = False
         self._has_more = False
         self._is_reading_state = False
-        self._is_outage_reported = False
         self._is_changing = False
 
     async def run(self) -> None:
@@ -102,8 +113,8 @@
             return
         if revision is None and not relayed.is_state:
             return
+        store_return = self._record_peer_outage(relayed, delay_ms)
         if not relayed.is_state and relayed.from_revision > revision:
-            self._is_outage_reported = relayed.is_after_outage
             self._call_due.set()
             return
         updates = self._client.read_relayed(relayed)
@@ -114,10 +125,36 @@
             self._call_due.set()
         else:
             self._revision = relayed.to_revision
-            self._record_as_of(self._loop.time() - age_ms / 1000.0)
-            self._call_state.record_peer_update()
-        is_after_outage = relayed.is_after_outage
-        self._report(PublishedUpdates(updates, relayed.is_state, is_after_outage, age_ms, source))
+            as_of_s = self._loop.time() - age_ms / 1000.0
+            self._record_as_of(as_of_s)
+            self._call_state.record_peer_update(as_of_s * 1000.0)
+        self._report_updates(updates, relayed.is_state, age_ms, source, store_return)
+
+    def _record_peer_outage(self, relayed: StoreUpdates, delay_ms: float) -> StoreReturn | None:
+        """Record the outage that a peer tells of, if it does.
+
+        A peer of an older version does not say how long ago the store returned.
+        """
+        if not relayed.is_after_outage:
+            return None
+        returned_age_ms = 0.0
+        if relayed.returned_age_ms is not None:
+            returned_age_ms = relayed.returned_age_ms + delay_ms
+        now_ms = self._now_ms()
+        return self._call_state.record_peer_outage(now_ms - returned_age_ms, now_ms)
+
+    def _report_updates(
+        self,
+        updates: tuple[PublishedUpdate, ...],
+        is_snapshot: bool,
+        age_ms: float,
+        source: str,
+        store_return: StoreReturn | None,
+    ) -> None:
+        returned_age_ms = self._returned_age_ms()
+        self._report(
+            PublishedUpdates(updates, is_snapshot, age_ms, source, returned_age_ms, store_return)
+        )
 
     def build_state_reply(self, beyond_revision: int | None) -> StoreUpdates | None:
         """Return what a peer at a revision does not know; None when this instance knows less.
@@ -136,12 +173,7 @@
             updates = StoreUpdates(self._revision, self._revision)
         else:
             updates = self._client.export_state(self._revision)
-        return replace(
-            updates,
-            is_after_outage=self._has_returned(),
-            age_ms=age_ms,
-            sent_ms=self._now_ms(),
-        )
+        return self._stamp(updates, age_ms)
 
     def _view_age_ms(self) -> float:
         return (self._loop.time() - self._as_of_s) * 1000.0
@@ -159,8 +191,10 @@
         """
         spread = 1.0 + UPDATE_TIMEOUT_JITTER * self._random.random()
         timeout_s = self._timing.update_timeout_ms / 1000.0 * spread
+        confirmation_spread_s = MAX_CONFIRMATION_SPREAD_S * self._random.random()
         while not self._has_more:
             left_s = self._as_of_s + timeout_s - self._loop.time()
+            left_s = min(left_s, self._confirmation_left_s() + confirmation_spread_s)
             is_watching = self._callbacks.is_watcher() and not self._call_state.has_failed
             if is_watching or left_s < MIN_WAIT_S:
                 return
@@ -170,11 +204,16 @@
                 continue
             return
 
+    def _is_overdue(self) -> bool:
+        """Return whether the instances that read the store for this one have been silent."""
+        is_late = self._view_age_ms() >= self._timing.update_timeout_ms
+        return is_late and not self._callbacks.is_watcher()
+
     async def _call_store(self) -> float:
         """Make one call; return the pause until the next, in seconds."""
         call_started_s = self._loop.time()
         self._call_due.clear()
-        self._call_state.record_call(call_started_s * 1000.0)
+        self._call_state.record_call(call_started_s * 1000.0, self._is_overdue())
         is_snapshot = self._call_state.needs_state
         self._has_more = False
         changes = None
@@ -192,24 +231,28 @@
             return self._handle_history_gone()
         except StoreError as error:
             return self._handle_store_error(error)
-        self._call_state.record_answer(is_snapshot, self._now_ms())
+        as_of_s = self._as_of_answer_s(call_started_s, changes)
+        store_return = self._call_state.record_answer(is_snapshot, as_of_s * 1000.0, self._now_ms())
         if not self._is_history_gone:
             self._backoff.reset()
-        as_of_s = self._as_of_answer_s(call_started_s, changes)
         self._record_as_of(as_of_s)
         age_ms = (self._loop.time() - as_of_s) * 1000.0
-        is_after_outage, self._is_outage_reported = self._is_outage_reported, False
-        self._report(PublishedUpdates(updates, is_snapshot, is_after_outage, age_ms))
+        self._report_updates(updates, is_snapshot, age_ms, OWN_SOURCE, store_return)
         if changes is not None:
-            self._relay(changes.relayed, age_ms)
+            self._callbacks.relay(self._stamp(changes.relayed, age_ms))
         if self._has_more:
             return 0.0
         return self._pause_after(self._loop.time() - call_started_s)
 
-    def _relay(self, updates: StoreUpdates, age_ms: float) -> None:
-        is_after_outage = self._has_returned()
-        self._callbacks.relay(
-            replace(updates, is_after_outage=is_after_outage, age_ms=age_ms, sent_ms=self._now_ms())
+    def _stamp(self, updates: StoreUpdates, age_ms: float) -> StoreUpdates:
+        """Return updates as they are sent now, with the ages of what they tell."""
+        returned_age_ms = self._returned_age_ms()
+        return replace(
+            updates,
+            is_after_outage=returned_age_ms is not None,
+            age_ms=age_ms,
+            sent_ms=self._now_ms(),
+            returned_age_ms=returned_age_ms,
         )
 
     def _as_of_answer_s(self, call_started_s: float, changes: StoreChanges | None) -> float:
@@ -255,15 +298,30 @@
         if self._is_recovering():
             return min(pause_s, MAX_RECOVERY_PAUSE_S)
         # A watch that waited this long has collected changes already.
-        has_waited = waited_s >= timing.batching_ms / 1000.0
-        return 0.0 if has_waited else pause_s * (0.9 + 0.2 * self._random.random())
+        if waited_s >= timing.batching_ms / 1000.0:
+            return 0.0
+        pause_s *= 0.9 + 0.2 * self._random.random()
+        return min(pause_s, max(MIN_WAIT_S, self._confirmation_left_s()))
 
-    def _is_recovering(self) -> bool:
-        """Return whether the store has just come back and a service still has no upstream."""
-        return self._has_returned() and self._callbacks.lacks_upstreams()
+    def _confirmation_left_s(self) -> float:
+        """Return the time until a read has to confirm what was held after an outage.
 
-    def _has_returned(self) -> bool:
-        return self._call_state.has_just_returned(self._now_ms())
+        It is infinite if nothing is held that the view does not confirm already.
+        """
+        confirm_s = (self._call_state.returned_ms + LAPSE_HOLD_MS + HOLD_SLACK_MS) / 1000.0
+        return float("inf") if self._as_of_s >= confirm_s else confirm_s - self._loop.time()
+
+    def _is_recovering(self) -> bool:
+        """Return whether entries may be missing and a service has no upstream."""
+        may_lack = self._call_state.may_lack_entries(self._now_ms())
+        return may_lack and self._callbacks.lacks_upstreams()
+
+    def _returned_age_ms(self) -> float | None:
+        """Return how long ago the store came back from an outage; None if it was not lately."""
+        now_ms = self._now_ms()
+        if not self._call_state.has_just_returned(now_ms):
+            return None
+        return now_ms - self._call_state.returned_ms
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
--- a/packages/geraniumlead-server/tests/server_tests/forwarding_telemetry/test_metrics.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding_telemetry/test_metrics.py
@@ -67,3 +67,11 @@
             self.metrics.observe(LogDecision("peer_message_dropped", fields, "warning"))
         (point,) = self.read("geraniumlead_peer_messages_dropped")
         self.assertEqual((2, fields), (point.value, dict(point.attributes)))
+
+    def test_returns_of_the_store_are_counted_by_cause(self):
+        """Guards against removals that are held up for a reason that nobody can tell."""
+        for cause in ("outage", "first read", "first read"):
+            self.metrics.observe(LogDecision("store_returned", {"cause": cause}))
+        points = self.read("geraniumlead_store_returns")
+        counts = {point.attributes["cause"]: point.value for point in points}
+        self.assertEqual({"outage": 1, "first read": 2}, counts)
--- a/packages/geraniumlead-standins/src/geraniumlead_standins/forwarding/virtual_store_client.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/forwarding/virtual_store_client.py
@@ -9,11 +9,15 @@
 
 
 class StoreAccess(Enum):
-    """How the store treats the calls of one instance."""
+    """How the store treats the calls of one instance.
+
+    Once ``DOWN``, it also ends those that wait for an answer.
+    """
 
     OPEN = "open"
     REFUSING = "refusing"
     SILENT = "silent"
+    DOWN = "down"
 
 
 class VirtualStoreClient(StoreClient):
@@ -47,6 +51,7 @@
     async def _answer(self, path: str, query: dict, decoder: Decoder):
         if self.access is StoreAccess.REFUSING:
             raise StoreError("status 429")
+        self._raise_if_down()
         if self.access is StoreAccess.SILENT:
             await asyncio.Event().wait()
         if path == RANGE_PATH:
@@ -58,5 +63,10 @@
             raise HistoryGoneError("the history is gone")
         if self.access is StoreAccess.SILENT:
             await asyncio.Event().wait()
+        self._raise_if_down()
         await asyncio.sleep(self._one_way_delay_s)
         return decoder.decode(encode(body))
+
+    def _raise_if_down(self) -> None:
+        if self.access is StoreAccess.DOWN:
+            raise StoreError("ClientOSError")
--- a/packages/geraniumlead/src/geraniumlead/forwarding/events.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/events.py
@@ -5,7 +5,7 @@
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
 from geraniumlead.forwarding.results import AttemptResult
 from geraniumlead.forwarding.updates import PublishedUpdate
-from geraniumlead.peering import NO_ENVELOPE, Envelope, PeeringMessage
+from geraniumlead.peering import NO_ENVELOPE, Envelope, PeeringMessage, StoreReturn
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,16 +34,19 @@
 class PublishedUpdates:
     """Updates that were read from the platform's store.
 
-    ``is_snapshot`` is set if ``updates`` holds all entries of the store. ``is_after_outage`` is
-    set if another instance read them that had lost its connection to the store shortly before;
-    ``source`` names that instance. ``age_ms`` is the maximum time since the store answered.
+    ``is_snapshot`` is set if ``updates`` holds all entries of the store. ``source`` names the
+    instance that read them. ``age_ms`` is the maximum time since the store answered.
+    ``returned_age_ms`` is how long ago the store came back from an outage, in which entries of live
+    upstreams may have lapsed; None if there was none lately. ``store_return`` is what this read
+    looked like the end of.
     """
 
     updates: tuple[PublishedUpdate, ...]
     is_snapshot: bool
-    is_after_outage: bool = False
     age_ms: float = 0.0
     source: str = "store"
+    returned_age_ms: float | None = None
+    store_return: StoreReturn | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/published_state.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/published_state.py
@@ -9,6 +9,7 @@
     UpstreamWithdrawn,
 )
 from geraniumlead.forwarding.upstream_chooser import UpstreamChooser
+from geraniumlead.peering import StoreReturn
 from geraniumlead.published_upstreams import UpstreamRecord, UpstreamView
 from geraniumlead.routes import PublishedConfiguration
 
@@ -19,10 +20,8 @@
     UpstreamWithdrawn: "upstreams_withdrawn",
 }
 
-LAPSE_OUTAGE_MS = 2_500.0
-"""Time since the store's last answer after which entries may have lapsed, if a call has failed
-meanwhile. Upstreams renew their entries about once a second, and an entry lapses after three missed
-renewals."""
+STORE_RETURNED = "store_returned"
+"""Event of a read that looks like the end of an outage, with its cause."""
 
 
 class PublishedState:
@@ -38,7 +37,6 @@
         "_lost",
         "_lost_since_ms",
         "_upstream_view",
-        "answered_ms",
         "configuration",
     )
 
@@ -51,7 +49,6 @@
         self._lost_since_ms: float | None = None
         self._lost: list[UpstreamRecord] = []
         self.configuration: PublishedConfiguration | None = None
-        self.answered_ms = float("-inf")
 
     @property
     def can_serve(self) -> bool:
@@ -80,8 +77,10 @@
         """Apply updates that were read from the store."""
         self._record_answered(now_ms)
         self._upstream_view.record_read(now_ms - event.age_ms)
-        if event.is_after_outage:
-            self._upstream_view.record_platform_return(now_ms)
+        if event.store_return is not None:
+            self._log_return(event.store_return, event.source)
+        if event.returned_age_ms is not None:
+            self._upstream_view.record_platform_return(now_ms - event.returned_age_ms)
         for item in event.updates:
             match item:
                 case ConfigurationSeen(configuration=configuration):
@@ -126,13 +125,8 @@
 
     def _record_answered(self, now_ms: float) -> None:
         if self._lost_since_ms is not None:
-            # The store may have been unavailable for long before a call failed.
-            outage_ms = now_ms - self.answered_ms
-            if outage_ms >= LAPSE_OUTAGE_MS:
-                self._upstream_view.record_platform_return(now_ms)
             self._log("store_regained", {"away_ms": round(now_ms - self._lost_since_ms)})
             self._lost_since_ms = None
-        self.answered_ms = now_ms
 
     def _apply_configuration(self, configuration: PublishedConfiguration, now_ms: float) -> None:
         current = self.configuration
@@ -206,6 +200,14 @@
         )
         self._set_evacuated(evacuated, now_ms)
 
+    def _log_return(self, found: StoreReturn, source: str) -> None:
+        fields = {
+            "cause": found.cause.value,
+            "unknown_ms": None if found.unknown_ms is None else round(found.unknown_ms, 1),
+            "source": source,
+        }
+        self._log(STORE_RETURNED, fields)
+
     def _log_read(self, event: PublishedUpdates) -> None:
         """Log one summary of a read, since the entries for single upstreams may be omitted."""
         fields = {
--- a/packages/geraniumlead/src/geraniumlead/peering/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/__init__.py
@@ -31,6 +31,7 @@
 from geraniumlead.peering.process_match import ProcessMatch, is_kept
 from geraniumlead.peering.store_read_state import StoreReadState
 from geraniumlead.peering.store_read_timing import UPDATE_TIMEOUT_JITTER, StoreReadTiming
+from geraniumlead.peering.store_return import ReturnCause, StoreReturn
 from geraniumlead.peering.store_watch import StoreWatch
 
 __all__ = [
@@ -54,10 +55,12 @@
     "PeeringMessage",
     "ProcessId",
     "ProcessMatch",
+    "ReturnCause",
     "StateRequest",
     "StoreItem",
     "StoreReadState",
     "StoreReadTiming",
+    "StoreReturn",
     "StoreUpdates",
     "StoreWatch",
     "decode_envelope",
--- a/packages/geraniumlead/src/geraniumlead/peering/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -190,9 +190,10 @@
     """The changes in the platform's store between two of its revisions.
 
     Heartbeats that change nothing are left out. With ``is_cut`` the items are incomplete, and the
-    receiver has to read the rest itself. ``is_after_outage`` is set when the store has just come
-    back. ``age_ms`` is how long before ``sent_ms``, on the sender's clock, the store was read.
-    With ``is_state`` the items are the whole state of the store.
+    receiver has to read the rest itself. ``age_ms`` is how long before ``sent_ms``, on the sender's
+    clock, the store was read, and ``returned_age_ms`` how long before it the store came back from
+    an outage; None if it has not just come back. ``is_after_outage`` tells the same to an older
+    version. With ``is_state`` the items are the whole state of the store.
     """
 
     from_revision: int
@@ -203,6 +204,7 @@
     age_ms: float = 0.0
     sent_ms: float | None = None
     is_state: bool = False
+    returned_age_ms: float | None = None
 
 
 PeeringMessage = (
--- a/packages/geraniumlead/src/geraniumlead/published_upstreams/__init__.py
+++ b/packages/geraniumlead/src/geraniumlead/published_upstreams/__init__.py
@@ -1,6 +1,6 @@
 """The known upstreams, as they and the operators publish them."""
 
 from geraniumlead.published_upstreams.upstream_record import UpstreamRecord
-from geraniumlead.published_upstreams.upstream_view import UpstreamView
+from geraniumlead.published_upstreams.upstream_view import LAPSE_HOLD_MS, UpstreamView
 
-__all__ = ["UpstreamRecord", "UpstreamView"]
+__all__ = ["LAPSE_HOLD_MS", "UpstreamRecord", "UpstreamView"]
--- a/packages/geraniumlead/src/geraniumlead/published_upstreams/upstream_view.py
+++ b/packages/geraniumlead/src/geraniumlead/published_upstreams/upstream_view.py
@@ -11,7 +11,9 @@
     Failure: while the platform's store is unavailable, upstreams cannot renew their entries, and
     the store comes back without them. Applied at once, these removals would leave a service
     without any upstream although all of them are alive. So for LAPSE_HOLD_MS after the return of
-    the store removed upstreams are kept; those that are still missing then are forgotten.
+    the store removed upstreams are kept; those that are still missing from a view of a later time
+    are forgotten. The time counts from the return, however many messages tell of it and however
+    late they come.
     """
 
     __slots__ = (
@@ -71,9 +73,9 @@
         self._forget(upstream_id)
         return True
 
-    def record_platform_return(self, now_ms: float) -> None:
-        """Delay removals from now on, since the store was unavailable."""
-        self._hold_until_ms = now_ms + LAPSE_HOLD_MS
+    def record_platform_return(self, returned_ms: float) -> None:
+        """Delay removals for a while from the return of the store, which was unavailable."""
+        self._hold_until_ms = max(self._hold_until_ms, returned_ms + LAPSE_HOLD_MS)
 
     def set_evacuated(self, data_centres: frozenset[str]) -> None:
         """Replace the data centres whose upstreams get no requests."""
@@ -85,13 +87,22 @@
         return self._evacuated
 
     def expire(self, now_ms: float) -> list[UpstreamRecord]:
-        """Forget the upstreams whose delayed removal is due; return their last records."""
-        due = [name for name, due_ms in self._leaving_ms.items() if due_ms <= now_ms]
+        """Forget the upstreams whose delayed removal is due; return their last records.
+
+        Failure: the pause between two reads is longer than the delay. Upstreams that had long
+        published their entries again were forgotten until the next read.
+        """
+        due = [name for name, due_ms in self._due_ms().items() if due_ms <= now_ms]
         return [self._forget(upstream_id) for upstream_id in due]
 
     def next_wake_ms(self) -> float | None:
-        """Return when ``expire`` has to be called; None when no removal is delayed."""
-        return min(self._leaving_ms.values()) if self._leaving_ms else None
+        """Return when ``expire`` has to be called; None when a later read decides first."""
+        return min(self._due_ms().values(), default=None)
+
+    def _due_ms(self) -> dict[str, float]:
+        """Return when delayed removals are due, for those that the latest view confirms."""
+        read_ms = float("-inf") if self._read_ms is None else self._read_ms
+        return {name: due_ms for name, due_ms in self._leaving_ms.items() if due_ms <= read_ms}
 
     def usable(self, service: str) -> list[UpstreamRecord]:
         """Return the upstreams of a service that take new requests."""
--- a/packages/geraniumlead/tests/core_tests/published_upstreams/test_upstream_view.py
+++ b/packages/geraniumlead/tests/core_tests/published_upstreams/test_upstream_view.py
@@ -28,10 +28,30 @@
         self.assertFalse(self.view.remove("one", 1_100.0))
         self.assertEqual(["one"], self.names())
         self.assertEqual([], self.view.expire(1_100.0))
+        self.view.record_read(1_000.0 + LAPSE_HOLD_MS)
+        self.assertEqual([], self.view.expire(999.0 + LAPSE_HOLD_MS))
         (expired,) = self.view.expire(1_000.0 + LAPSE_HOLD_MS)
         self.assertEqual("one", expired.upstream_id)
         self.assertEqual([], self.names())
 
+    def test_held_upstreams_are_kept_until_a_later_read_confirms_their_removal(self):
+        """Guards against upstreams that have returned to the store but not been read yet."""
+        self.view.record_platform_return(1_000.0)
+        self.view.record_read(1_100.0)
+        self.view.remove("one", 1_100.0)
+        self.assertEqual([], self.view.expire(1_000.0 + 2.0 * LAPSE_HOLD_MS))
+        self.assertIsNone(self.view.next_wake_ms())
+        self.view.record_read(1_000.0 + LAPSE_HOLD_MS)
+        self.assertEqual(1, len(self.view.expire(1_000.0 + 2.0 * LAPSE_HOLD_MS)))
+
+    def test_a_return_that_is_told_again_or_late_holds_nothing_longer(self):
+        """Guards against a hold that each message of the same outage begins anew."""
+        self.view.record_platform_return(1_000.0)
+        self.view.record_platform_return(400.0)
+        self.assertFalse(self.view.remove("one", 999.0 + LAPSE_HOLD_MS))
+        self.view.put(build_record("one"))
+        self.assertTrue(self.view.remove("one", 1_000.0 + LAPSE_HOLD_MS))
+
     def test_entry_that_is_published_again_in_time_stays(self):
         self.view.record_platform_return(1_000.0)
         self.view.remove("one", 1_100.0)
