Let the tests of failed events read the log under the suite's runner

The runner of the whole suite disables logging, and these tests, unlike the others that read log lines, did not enable it; run alone they passed. The check is the same.

Evidence: the runner with this file alone: 3 failed before, 3 passed now.

--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_forwarding_driver.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_forwarding_driver.py
@@ -1,6 +1,7 @@
 """Test what an exception in one event does to the others."""
 
 import asyncio
+import logging
 from random import Random
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import patch
@@ -77,6 +78,10 @@
 
 class FailedEventTests(IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
+        # The runner of the whole suite disables logging; these tests check log lines.
+        before = logging.root.manager.disable
+        logging.disable(logging.NOTSET)
+        self.addCleanup(logging.disable, before)
         self.started: list[StartAttempt] = []
         settings = ForwardingSettings("entry-1", "noord-a", address="10.1.0.1:1")
         loop = asyncio.get_running_loop()
