Log and count extra attempts by service and cause, and add them up over all instances

What operators saw: nothing.

Change: each extra attempt has a cause (late, failed, a late peer, a peer without an answer). An instance writes at most two lines a second with the counts by service, those denied, what was left, its part of the slack and the count that divides it; a metric has the same by service and cause. `geraniumlead extra-attempts` adds the lines of all instances up in sliding windows, beside the requests of callers, and exits with 1 if the bound was exceeded. No decision changes.

--- /dev/null
+++ b/packages/geraniumlead-client/src/geraniumlead_client/commands/extra_attempts.py
@@ -0,0 +1,51 @@
+from argparse import ArgumentParser, Namespace
+
+from geraniumlead_client.exit_codes import FOUND_PROBLEMS, NOT_FOUND, OK
+from geraniumlead_client.extra_attempt_report import ExtraAttemptReport, describe
+from geraniumlead_client.log_files import add_log_files, report_skipped
+from geraniumlead_client.management_command import ManagementCommand
+from geraniumlead_client.printing import print_error, print_json
+from geraniumlead_client.tables import render_table
+
+MAX_SERVICES_SHOWN = 10
+
+HEADERS = ["service", "sent", "requests", "allowed", "used", "until", "causes", "denied"]
+
+
+class ExtraAttemptsCommand(ManagementCommand):
+    """Show how near all instances together came to the bound of extra attempts, by service."""
+
+    name = "extra-attempts"
+    help = "report from the logs of all instances how many attempts were sent beyond the first"
+
+    def add_arguments(self, parser: ArgumentParser) -> None:
+        """Add the logs and the output option."""
+        parser.add_argument("files", nargs="+", metavar="FILE", help="- for standard input")
+        parser.add_argument("--json", action="store_true", help="print JSON for programs")
+
+    def run(self, arguments: Namespace) -> int:
+        """Return 1 if a file is unreadable or the bound was exceeded, 3 without any attempt."""
+        report = ExtraAttemptReport()
+        unreadable_files = add_log_files(report, arguments.files)
+        report_skipped(report.skipped)
+        windows = report.nearest()
+        if not windows:
+            print_error("the logs hold no extra attempt")
+            return FOUND_PROBLEMS if unreadable_files else NOT_FOUND
+        if arguments.json:
+            print_json({"services": windows})
+        else:
+            rows = [describe(window) for window in windows[:MAX_SERVICES_SHOWN]]
+            headers = [
+                "service",
+                "sent",
+                "requests",
+                "allowed",
+                "used",
+                "until",
+                "causes",
+                "denied",
+            ]
+            print(render_table(headers, rows))
+        is_exceeded = windows[0].used_share > 1.0
+        return FOUND_PROBLEMS if is_exceeded or unreadable_files else OK
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/decision_log.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/decision_log.py
@@ -16,14 +16,16 @@
         "configuration",
         "cut_off",
         "evacuated",
+        "extra_attempts",
         "published",
         "store_lost",
         "store_regained",
         "store_returned",
     }
 )
-"""Changes of the state that an instance as a whole observes: a few lines a second at most, all of
-which are needed to investigate a complaint about old routes."""
+"""Changes of the state that an instance as a whole observes, and its extra attempts: a few lines a
+second at most. All of them are needed to investigate a complaint about old routes, or to add up the
+extra attempts of all instances."""
 
 MILLISECONDS_PER_S = 1000.0
 
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_telemetry/metrics.py
@@ -7,6 +7,7 @@
 from opentelemetry.sdk.metrics.export import MetricReader
 
 from geraniumlead.forwarding import Forwarder, LogDecision
+from geraniumlead.forwarding.extra_attempt_log import BUDGET_LEFT, EXTRA_ATTEMPTS
 from geraniumlead.forwarding.peer_message_handler import MESSAGE_DROPPED
 from geraniumlead.forwarding.published_state import STORE_RETURNED
 from geraniumlead_server.forwarding_telemetry.bounds import LATENCY_BOUNDS_MS
@@ -16,6 +17,11 @@
 
 OTHER_ROUTES = "other"
 
+MAX_LABELLED_SERVICES = 200
+"""Services with labels of their own in the count of extra attempts."""
+
+OTHER_SERVICES = "other"
+
 CRASH_EVENTS = frozenset({"crash_strike", "crash_told", "crash_notice"})
 CRASHES_UPSTREAMS = "crashes_upstreams"
 
@@ -33,6 +39,7 @@
         self._forwarder = forwarder
         self._now_ms = now_ms
         self._routes: set[str] = set()
+        self._services: set[str] = set()
         meter = MeterProvider([reader], shutdown_on_exit=False).get_meter("geraniumlead")
         self._latency = meter.create_histogram(
             "geraniumlead_forwarded_latency",
@@ -42,6 +49,10 @@
         )
         self._requests = meter.create_counter("geraniumlead_forwarded_requests")
         self._extra = meter.create_counter("geraniumlead_extra_attempts")
+        self._extra_by_cause = meter.create_counter(
+            "geraniumlead_extra_attempts_by_cause",
+            description="attempts beyond the first that were sent, or denied for lack of budget",
+        )
         self._wait = meter.create_histogram(
             "geraniumlead_request_wait",
             unit="ms",
@@ -93,6 +104,9 @@
         if decision.name == MESSAGE_DROPPED:
             self._dropped.add(1, {"kind": fields["kind"], "reason": fields["reason"]})
             return
+        if decision.name == EXTRA_ATTEMPTS:
+            self._count_extra_attempts(fields["services"])
+            return
         if decision.name != "request":
             self._view_changes.add(1, {"change": decision.name})
             return
@@ -113,6 +127,20 @@
         if fields.get("missing"):
             self._missing.add(len(fields["missing"]), labels)
 
+    def _count_extra_attempts(self, services: dict[str, dict[str, float]]) -> None:
+        for service, counts in services.items():
+            label = self._service_label_of(service)
+            for cause in counts.keys() - {BUDGET_LEFT}:
+                self._extra_by_cause.add(counts[cause], {"service": label, "cause": cause})
+
+    def _service_label_of(self, service: str) -> str:
+        if service in self._services:
+            return service
+        if len(self._services) >= MAX_LABELLED_SERVICES:
+            return OTHER_SERVICES
+        self._services.add(service)
+        return service
+
     def _label_of(self, route: str) -> str:
         if route in self._routes:
             return route
--- a/packages/geraniumlead-server/tests/server_tests/forwarding_telemetry/test_metrics.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding_telemetry/test_metrics.py
@@ -75,3 +75,16 @@
         points = self.read("geraniumlead_store_returns")
         counts = {point.attributes["cause"]: point.value for point in points}
         self.assertEqual({"outage": 1, "first read": 2}, counts)
+
+    def test_extra_attempts_are_counted_by_service_and_cause(self):
+        """Guards against repeats that pile up at one service, unseen by operators."""
+        services = {"shard-1": {"late": 2, "denied": 5, "left": 0.3}, "shard-2": {"failed": 1}}
+        for _ in range(2):
+            self.metrics.observe(LogDecision("extra_attempts", {"services": services}))
+        counts = {
+            (point.attributes["service"], point.attributes["cause"]): point.value
+            for point in self.read("geraniumlead_extra_attempts_by_cause")
+        }
+        expected = {("shard-1", "late"): 4, ("shard-1", "denied"): 10, ("shard-2", "failed"): 2}
+        self.assertEqual(expected, counts)
+        self.assertEqual([], self.read("geraniumlead_view_changes"))
--- a/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
@@ -3,6 +3,7 @@
 from geraniumlead.crashes import UnansweredAttempts, hash_process
 from geraniumlead.forwarding.actions import CancelAttempt, ForwardingAction, StartAttempt
 from geraniumlead.forwarding.extra_attempt_budgets import ExtraAttemptBudgets
+from geraniumlead.forwarding.extra_attempt_cause import ExtraAttemptCause
 from geraniumlead.forwarding.isolation_detector import IsolationDetector
 from geraniumlead.forwarding.lateness_estimator import LatenessEstimator
 from geraniumlead.forwarding.open_request import Attempt, OpenRequest, Subrequest
@@ -129,11 +130,16 @@
         )
 
     def resend(
-        self, subrequest: Subrequest, upstream: UpstreamRecord, reason: str, now_ms: float
+        self,
+        subrequest: Subrequest,
+        upstream: UpstreamRecord,
+        cause: ExtraAttemptCause,
+        reason: str,
+        now_ms: float,
     ) -> None:
         """Send a subrequest again and charge the service's budget of extra attempts."""
         open_request = subrequest.request
-        self.budgets.record_extra(subrequest.service, now_ms)
+        self.budgets.record_extra(subrequest.service, cause, now_ms)
         open_request.extra_attempts += 1
         open_request.record_step(subrequest, upstream.upstream_id, f"again: {reason}", now_ms)
         self.send(subrequest, upstream, now_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -207,6 +207,7 @@
                 open_request.next_check_ms = NEVER_MS
                 self.processing_delay.record_timer(now_ms - due_ms, now_ms)
                 self._check_or_end(open_request, now_ms)
+        self._actions += self._tracker.budgets.pop_log_lines(now_ms)
 
     def next_wake_ms(self) -> float:
         """Return when ``wake`` has to be called next."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
@@ -3,6 +3,7 @@
 from geraniumlead.forwarding.attempt_tracker import AttemptTracker
 from geraniumlead.forwarding.crash_guard import CrashGuard
 from geraniumlead.forwarding.crash_refusal import CRASHES_UPSTREAMS
+from geraniumlead.forwarding.extra_attempt_cause import ExtraAttemptCause
 from geraniumlead.forwarding.open_request import Attempt, OpenRequest, Subrequest
 from geraniumlead.forwarding.results import (
     AttemptResult,
@@ -160,7 +161,9 @@
                 self._tracker.send(subrequest, upstream, now_ms)
             elif self._tracker.budgets.may_retry(subrequest.service, now_ms):
                 # The peer may have sent it already, and only its acknowledgement is late or lost.
-                self._tracker.resend(subrequest, upstream, reason, now_ms)
+                self._tracker.resend(
+                    subrequest, upstream, ExtraAttemptCause.PEER_FAILED, reason, now_ms
+                )
             else:
                 open_request.settle_failed(subrequest, f"{reason}, no budget", now_ms)
 
@@ -182,7 +185,9 @@
                 continue
             upstream = self._tracker.choose_in_time(subrequest, now_ms, skip_avoided=not is_overdue)
             if upstream is not None:
-                self._tracker.resend(subrequest, upstream, "peer is late", now_ms)
+                self._tracker.resend(
+                    subrequest, upstream, ExtraAttemptCause.PEER_LATE, "peer is late", now_ms
+                )
 
     def cancel_subrequest(self, subrequest: Subrequest, now_ms: float) -> None:
         """Cancel the attempts of a subrequest that a peer has answered."""
@@ -253,7 +258,7 @@
                 continue
             upstream = self._tracker.choose_in_time(subrequest, now_ms, skip_avoided=True)
             if upstream is not None:
-                self._tracker.resend(subrequest, upstream, "late", now_ms)
+                self._tracker.resend(subrequest, upstream, ExtraAttemptCause.LATE, "late", now_ms)
 
     def next_late_ms(self, open_request: OpenRequest, now_ms: float) -> float:
         """Return when the next attempt of a request becomes late."""
@@ -325,7 +330,7 @@
         if is_free:
             self._tracker.send(subrequest, upstream, now_ms)
         else:
-            self._tracker.resend(subrequest, upstream, reason, now_ms)
+            self._tracker.resend(subrequest, upstream, ExtraAttemptCause.FAILED, reason, now_ms)
 
     def _is_lateness_common(self, open_request: OpenRequest, now_ms: float) -> bool:
         """Return whether lateness is common to a query's subrequests, so that none is a straggler.
