Keep what extra attempts have been sent when the settings change

What callers saw: as before, repeats beyond what is allowed, without any restart.

Cause: each change of the settings file cleared the budgets of all services. The seeds in it change when machines do, at all instances at once and several times in a window, so each change gave the whole fleet its budgets anew.

Change: a reload changes the limits and keeps the counts. A longer window knows as little of its first part as a process that starts, so it is treated as one.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/extra_attempt_budgets.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/extra_attempt_budgets.py
@@ -29,11 +29,13 @@
         self._allowance.set_instances(count, is_count_known)
 
     def apply_settings(self, settings: ForwardingSettings, now_ms: float) -> None:
-        """Reset all budgets if the settings have changed."""
-        if settings != self._settings:
-            self._settings = settings
-            self._allowance.apply_settings(settings, now_ms)
-            self._budgets.clear()
+        """Apply changed settings; what was sent in the window stays counted.
+
+        Failure: the settings file changes with each machine that starts, in the whole fleet at
+        once, and each change gave all instances their whole budgets anew.
+        """
+        self._settings = settings
+        self._allowance.apply_settings(settings, now_ms)
 
     def record_first(self, service: str, now_ms: float) -> None:
         """Count a first attempt at a service."""
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_extra_attempt_allowance.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_extra_attempt_allowance.py
@@ -97,6 +97,34 @@
         instance.run_until(11_100.0, 0.0)
         self.assertEqual(56, len(instance.extras_ms))
 
+    def test_reloads_do_not_renew_what_is_spent(self):
+        """Guards against settings that change each second and renew the budget each time."""
+        instance = Instance(build_limits())
+        instance.run_until(12_000.0, 40.0, spends=False)
+        for number in range(10):
+            settings = build_limits(seeds=(f"10.0.0.{number}:1",))
+            instance.budgets.apply_settings(settings, instance.now_ms)
+            instance.run_until(instance.now_ms + 1_000.0, 40.0)
+        self.assertLessEqual(instance.worst_use(), 1.0)
+
+    def test_a_smaller_bound_is_in_force_at_once(self):
+        instance = Instance(build_limits(extra_share=0.0))
+        instance.run_until(12_000.0, 0.0)
+        instance.budgets.apply_settings(build_limits(extra_slack=10.0), instance.now_ms)
+        instance.run_until(18_000.0, 0.0)
+        late = [at_ms for at_ms in instance.extras_ms if at_ms > 12_000.0]
+        self.assertEqual([], late)
+
+    def test_a_longer_window_counts_as_unknown_until_it_has_passed(self):
+        """Guards against a window whose first part was forgotten before it became longer."""
+        instance = Instance(build_limits(extra_share=0.0))
+        instance.run_until(12_000.0, 0.0)
+        longer = build_limits(extra_share=0.0, extra_window_ms=30_000.0)
+        instance.budgets.apply_settings(longer, instance.now_ms)
+        instance.run_until(41_000.0, 0.0)
+        late = [at_ms for at_ms in instance.extras_ms if at_ms > 12_000.0]
+        self.assertLessEqual(len(late), RESTART_RESERVE * SAFE_SLACK_PART * 100.0)
+
     def test_without_a_known_count_there_is_no_slack(self):
         """Guards against instances that start alone and each take the slack of a whole fleet."""
         instance = Instance(build_limits(extra_share=0.0))
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_extra_attempt_bound.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_extra_attempt_bound.py
@@ -1,5 +1,6 @@
 """Test that the extra attempts of all instances stay within the bound, whatever restarts."""
 
+from dataclasses import replace
 from unittest import TestCase
 
 from core_tests.forwarding.extra_attempt_fleet import ExtraAttemptFleet
@@ -30,3 +31,14 @@
         for instances in (7, 18, 73):
             with self.subTest(instances=instances):
                 self.play_power_losses(instances)
+
+    def test_a_changed_settings_file_does_not_renew_the_budgets(self):
+        """Guards against changes of seeds that each give all instances their budgets anew."""
+        fleet = self.build(18)
+        for number in range(10):
+            for member in fleet.fleet.members.values():
+                seeds = (fleet.addresses[number],)
+                settings = replace(member.forwarder._settings, seeds=seeds)
+                member.forwarder.apply_settings(settings, fleet.fleet.now_ms)
+            fleet.run_for(1_000.0)
+        self.check(fleet)
