Send a cold upstream nothing in the first second of a process

What callers saw: nothing yet; found by looking for limits over time that a restart resets. A cold upstream that gets more than its rate crashes and is cold again.

Cause: the requests of the last second were in the memory of the process.

Change: a process that starts sends nothing to cold upstreams for the window of that limit.

Evidence: test_a_fleet_that_restarts_keeps_the_limit, 2, 7 and 40 instances that restart: 12 requests in a second, 9.5 allowed, without the change; within the limit with it.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/cold_rate_limiter.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/cold_rate_limiter.py
@@ -77,6 +77,8 @@
         """Return whether a request may be sent to an upstream now."""
         if service.cold_requests_per_s <= 0.0 or not self.is_cold(upstream_id, now_ms):
             return True
+        if now_ms - self._started_ms < WINDOW_MS:
+            return False
         sent = self._sent_ms.get(upstream_id, ())
         recent = sum(1 for sent_ms in sent if now_ms - sent_ms < WINDOW_MS)
         return recent < self._max_requests(upstream_id, service)
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_cold_rate_limiter.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_cold_rate_limiter.py
@@ -73,6 +73,32 @@
                 self.assertLessEqual(highest, MAX_PER_S)
                 self.assertGreaterEqual(highest, 2)
 
+    def test_a_fleet_that_restarts_keeps_the_limit(self):
+        """Guards against processes that each send a cold upstream what their last one has sent."""
+        for count in (2, 7, 40):
+            with self.subTest(instances=count):
+                fleet = self.build(count, cold=COLD_MS - 100.0)
+                sent = self.send_for(fleet, 0.5)
+                restarted_ms = fleet[0].now_ms
+                for number, harness in enumerate(fleet):
+                    fleet[number] = self.restart(harness, count)
+                sent += self.send_for(fleet, 2.0)
+                self.assertLessEqual(self.max_in_a_second(sent, "cold"), MAX_PER_S)
+                self.assertTrue(any(at_ms > restarted_ms for at_ms, _ in sent))
+
+    def restart(self, gone: ForwarderHarness, count: int) -> ForwarderHarness:
+        """Return a new process of an instance, which knows its peers already."""
+        name = gone.forwarder._settings.instance_id
+        settings = build_settings(name, cold_factor=FACTOR, cold_slack=SLACK)
+        harness = ForwarderHarness(settings, 1, gone.now_ms, is_settled=False)
+        names = [f"entry-{number}" for number in range(count)]
+        published = gone.forwarder.published
+        records = published._upstream_view.usable("reader")
+        harness.handle(build_updates(published.configuration, *records))
+        harness.forwarder._runner.set_instances(count, names, True)
+        harness.forwarder._peers._count_due_ms = float("inf")
+        return harness
+
     def test_a_warm_upstream_gets_its_full_load(self):
         (harness,) = self.build(1, cold=500.0)
         self.assertEqual(1, len(harness.ask(1)))
