Count the first attempt of a delegated subrequest once, also if the peer could not send it

What callers saw: nothing alone; it raises the bound of extra attempts when upstreams are in trouble.

Cause: a peer counts the first attempts of what it takes over, also of shards for which it finds no upstream. It reports them as missing, and the instance that delegated them counted them again.

Change: a subrequest that a peer has served without an answer is not counted again; one that it declined, or that was held back, is.

Evidence: test_a_subrequest_that_a_peer_could_not_send_earns_extra_attempts_once: counted [1, 2, 2, 2, 2] times without the change, once each with it.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegated_subrequests.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegated_subrequests.py
@@ -78,7 +78,7 @@
                 for position, upstream_ids in reply.tried
                 if (subrequest := delegation.subrequest_at(position)) is not None
             }
-            self._send_from_here(delegation, tried, reason, now_ms)
+            self._send_from_here(delegation, tried, reason, now_ms, not reply.is_declined)
 
     def hedge(self, delegation: Delegation, now_ms: float) -> None:
         """Send subrequests from here as well while the peer may still answer them.
@@ -134,10 +134,11 @@
         tried: Mapping[str, Sequence[str | None]],
         reason: str,
         now_ms: float,
+        is_counted: bool = False,
     ) -> None:
         missing = [subrequest for subrequest in delegation.subrequests if not subrequest.is_settled]
         for subrequest in missing:
             subrequest.is_delegated = False
             self._sender.record_peer_attempts(subrequest, tried.get(subrequest.service, ()))
         unsent = [subrequest for subrequest in missing if not subrequest.open_attempts]
-        self._sender.send_unanswered(delegation.open_request, unsent, reason, now_ms)
+        self._sender.send_unanswered(delegation.open_request, unsent, reason, now_ms, is_counted)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
@@ -140,10 +140,17 @@
         return sent
 
     def send_unanswered(
-        self, open_request: OpenRequest, subrequests: list[Subrequest], reason: str, now_ms: float
+        self,
+        open_request: OpenRequest,
+        subrequests: list[Subrequest],
+        reason: str,
+        now_ms: float,
+        is_counted: bool = False,
     ) -> None:
         """Send subrequests from this instance that a peer did not answer, or that were held.
 
+        ``is_counted`` is set if the peer has counted their first attempts, even if it sent none.
+
         The attempts of the peer count towards the route's maximum number of upstreams: with a
         separate count here one request would reach twice as many.
         """
@@ -157,7 +164,8 @@
             if upstream is None:
                 open_request.settle_failed(subrequest, f"{reason}, no upstream", now_ms)
             elif not subrequest.sent_to:
-                self._tracker.budgets.record_first(subrequest.service, now_ms)
+                if not is_counted:
+                    self._tracker.budgets.record_first(subrequest.service, now_ms)
                 self._tracker.send(subrequest, upstream, now_ms)
             elif self._tracker.budgets.may_retry(subrequest.service, now_ms):
                 # The peer may have sent it already, and only its acknowledgement is late or lost.
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_delegation.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_delegation.py
@@ -74,10 +74,25 @@
         """
         self.near.ask()
         self.deliver()
+        self.assertEqual([1] * 5, self.count_firsts())
+
+    def count_firsts(self) -> list[int]:
+        """Return how many first attempts both instances have counted, by shard."""
         budgets = [harness.forwarder._runner._tracker.budgets for harness in (self.near, self.far)]
-        for number in range(5):
-            firsts = [found._budget_of(f"shard-{number}")._first for found in budgets]
-            self.assertEqual(1, sum(firsts), number)
+        return [
+            sum(found._budget_of(f"shard-{number}")._first for found in budgets)
+            for number in range(5)
+        ]
+
+    def test_a_subrequest_that_a_peer_could_not_send_earns_extra_attempts_once(self):
+        """Guards against a shard without upstreams at the peer that both instances count."""
+        self.near.ask()
+        for number in range(1, 5):
+            view = self.far.forwarder.published._upstream_view
+            view.remove(f"far.shard-{number}", self.far.now_ms)
+        self.deliver()
+        self.run_both_until(self.near.now_ms + 400.0)
+        self.assertEqual([1] * 5, self.count_firsts())
 
     def test_a_silent_peer_is_replaced_before_the_goal(self):
         """The peer loses power, and no instance has noticed yet.
