Start the query interface's budgets of extra subqueries empty

Contracts allow a share of the first subqueries as hedges and as retries.

Change: a budget starts with nothing and earns by the first query; a changed share keeps the balance.

--- a/packages/geraniumlead/src/geraniumlead/coordination/budget_registry.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/budget_registry.py
@@ -30,6 +30,7 @@
 ) -> ExtraSubqueryBudget:
     name = (query.request.customer, query.request.class_name)
     budget = budgets.get(name)
-    if budget is None or budget.share != share:
+    if budget is None:
         budget = budgets[name] = ExtraSubqueryBudget(share)
+    budget.share = share
     return budget
--- a/packages/geraniumlead/src/geraniumlead/coordination/extra_subquery_budget.py
+++ b/packages/geraniumlead/src/geraniumlead/coordination/extra_subquery_budget.py
@@ -7,14 +7,15 @@
 
     Load pattern: an upstream fails or sheds load, and each refused subquery is retried. Without a
     budget, the retries multiply the load when capacity is lowest. The balance is capped so that
-    credit from a long quiet period cannot cause a retry storm.
+    credit from a long quiet period cannot cause a retry storm. It starts empty: otherwise a fleet
+    that restarts again and again would be granted the cap each time.
     """
 
     __slots__ = ("_balance", "share")
 
-    def __init__(self, share: float, balance: float = MAX_BALANCE) -> None:
+    def __init__(self, share: float) -> None:
         self.share = share
-        self._balance = balance
+        self._balance = MIN_BALANCE
 
     def earn(self, count: int) -> None:
         """Credit the budget for ``count`` first subqueries."""
