Limit the bytes of an answer, and of all answers that are being received

On one upstream was read up to 600 MB in 1.3 s (chunked body) and took 1.2 GB without a length, where instances have 160 to 552 MB; interim answers held the event loop for 284 ms. Each retry would have ended the next instance.

Cause: a body was read to its end, however far that is; nothing limited the interim answers.

Change: the connection counts what it receives. An answer over 4 MiB, a head over 32 KiB or more than ten interim answers fail the attempt, which counts as a failure of the upstream but not as a crash, and reset the connection. If all open answers exceed 16 MiB, the longest fails. Both are settings. Long answers of shards are cut to the records that the reply can hold.

--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/client.py
@@ -16,6 +16,7 @@
     PossiblyExecuted,
     StartAttempt,
 )
+from geraniumlead_server.answer_memory import ANSWER_TOO_LONG, AnswerMemory, AnswerTooLongError
 from geraniumlead_server.forwarding_client.connections import (
     CURRENT_ATTEMPT,
     IDLE_S,
@@ -35,8 +36,11 @@
 class AttemptClient:
     """Runs each attempt as a task and reports its result once, unless it is cancelled before."""
 
-    def __init__(self, report: Callable[[AttemptEnded], None]) -> None:
+    def __init__(
+        self, report: Callable[[AttemptEnded], None], memory: AnswerMemory | None = None
+    ) -> None:
         self._report = report
+        self._memory = memory or AnswerMemory()
         self._loop = asyncio.get_running_loop()
         self._tasks: dict[int, asyncio.Task] = {}
         self._session: ClientSession | None = None
@@ -84,13 +88,20 @@
             return NotReached(type(error).__name__, is_timeout=True)
         except ClientConnectorError as error:
             return NotReached(type(error).__name__)
+        except AnswerTooLongError:
+            # This side has closed the connection, which does not count as a crash of the upstream.
+            return PossiblyExecuted(ANSWER_TOO_LONG)
         except (ClientError, OSError, ValueError) as error:
             return PossiblyExecuted(type(error).__name__, is_connection_lost=True)
 
     def _get_session(self) -> ClientSession:
         if self._session is None:
             connector = AttemptConnector(
-                REQUEST_ID_HEADER, limit=0, keepalive_timeout=IDLE_S, use_dns_cache=False
+                REQUEST_ID_HEADER,
+                self._memory,
+                limit=0,
+                keepalive_timeout=IDLE_S,
+                use_dns_cache=False,
             )
             self._session = ClientSession(
                 connector=connector,
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/connections.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/connections.py
@@ -6,6 +6,7 @@
 from aiohttp import ClientPayloadError, ClientRequest, TCPConnector
 
 from geraniumlead.forwarding import StartAttempt
+from geraniumlead_server.answer_memory import AnswerMemory
 from geraniumlead_server.platform import set_time_left
 from geraniumlead_server.resetting_connection import ResettingConnection
 
@@ -25,8 +26,10 @@
     and a connection with unsolicited bytes is not used again.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, id_header: str) -> None:
-        super().__init__(loop)
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, id_header: str, memory: AnswerMemory
+    ) -> None:
+        super().__init__(loop, memory)
         self._id_header = id_header
         self._expected_id: str | None = None
         self._answered_s = loop.time()
@@ -72,9 +75,9 @@
     replaced; a test fails when a new version no longer uses them.
     """
 
-    def __init__(self, id_header: str, **options) -> None:
+    def __init__(self, id_header: str, memory: AnswerMemory, **options) -> None:
         super().__init__(**options)
-        self._factory = lambda: AttemptConnection(self._loop, id_header)
+        self._factory = lambda: AttemptConnection(self._loop, id_header, memory)
 
     async def _get(self, key, traces):
         while (connection := await super()._get(key, traces)) is not None:
--- a/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
@@ -19,6 +19,10 @@
 logger = logging.getLogger("geraniumlead")
 
 HIGH_WATER_MARK_MESSAGES = 1_000
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+"""Longest message of a peer; a connection with a longer one is closed. The whole state of the
+platform's store at twelve thousand upstreams takes a quarter of it."""
+
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 """Time after which a connection whose data is not acknowledged is replaced. This costs nothing
 while the connection is idle; ZeroMQ heartbeats each second on the 460 connections of a large
@@ -195,6 +199,7 @@
     def _configure(self, socket: zmq.Socket) -> None:
         socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK_MESSAGES)
         socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK_MESSAGES)
+        socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_INTERVAL_MS)
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
@@ -9,6 +9,8 @@
 from geraniumlead.forwarding import UpstreamWithdrawn
 from geraniumlead.forwarding.updates import PublishedUpdate
 from geraniumlead.peering import StoreItem, StoreUpdates
+from geraniumlead_server.answer_memory import AnswerMemory
+from geraniumlead_server.bounded_connection import BoundedConnector
 from geraniumlead_server.platform.names import (
     HISTORY_GONE_STATUS,
     RANGE_PATH,
@@ -22,6 +24,12 @@
 """Largest value that instances relay to each other, some 30 KB compressed: a larger configuration
 sent to ten others would saturate a slow link for a second."""
 
+MAX_REPLY_BYTES = 8 * 1024 * 1024
+"""Longest reply of the store that is read; it limits them to about 1 MB."""
+
+MAX_OPEN_REPLY_BYTES = 2 * MAX_REPLY_BYTES
+"""A read and a watch may be received at the same time."""
+
 FULL_REPLY_EVENTS = 400
 """A reply with this many changes counts as truncated: the store limits one to about 500 items."""
 
@@ -158,7 +166,8 @@
 
     async def _call(self, path: str, query: dict, timeout_s: float, decoder: Decoder):
         if self._session is None:
-            self._session = ClientSession(auto_decompress=False)
+            connector = BoundedConnector(AnswerMemory(MAX_REPLY_BYTES, MAX_OPEN_REPLY_BYTES))
+            self._session = ClientSession(connector=connector, auto_decompress=False)
         timeout = ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         try:
             async with self._session.get(
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_client/client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_client/client.py
@@ -9,6 +9,7 @@
 
 from geraniumlead.documents import VersionedValue
 from geraniumlead.events import DocumentsReceived, PlatformReadFailed
+from geraniumlead_server.answer_memory import read_limited
 from geraniumlead_server.backoff import Backoff
 from geraniumlead_server.platform_client.call_budget import CallBudget
 from geraniumlead_server.platform_client.errors import PLATFORM_ERRORS
@@ -27,6 +28,9 @@
 
 MAX_LINE_BYTES = 8 * 1024 * 1024
 
+MAX_RANGE_BYTES = 32 * 1024 * 1024
+"""Longest reply to a read of all documents."""
+
 _RANGE = Decoder(RangeResponse)
 _WATCH = Decoder(WatchLine)
 _READ_TIMEOUT = ClientTimeout(total=READ_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
@@ -166,7 +170,7 @@
             f"http://{address}/v3/kv/range", json=selection, timeout=_READ_TIMEOUT
         ) as response:
             response.raise_for_status()
-            return _RANGE.decode(await response.read())
+            return _RANGE.decode(await read_limited(response, MAX_RANGE_BYTES))
 
     async def _wait_for_budget(self) -> None:
         wait_s = self._budget.reserve(asyncio.get_running_loop().time())
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform_daemon.py
@@ -32,6 +32,7 @@
 )
 from geraniumlead.peering.outgoing_peer_message import OutgoingPeerMessage
 from geraniumlead.settings import PlatformSettings
+from geraniumlead_server.answer_memory import AnswerMemory
 from geraniumlead_server.forwarding_client import AttemptClient
 from geraniumlead_server.forwarding_driver import ForwardingDriver
 from geraniumlead_server.forwarding_front import (
@@ -104,7 +105,9 @@
             self._incarnation,
         )
         self._driver = ForwardingDriver(forwarder, self._carry_out)
-        self._attempts = AttemptClient(self._driver.handle)
+        bounds = self._settings.bounds
+        memory = AnswerMemory(bounds.answer_bytes, bounds.open_answer_bytes)
+        self._attempts = AttemptClient(self._driver.handle, memory)
         self._store = StoreClient(self._settings.store)
         self._peers = PeerTransport(
             self._settings,
--- a/packages/geraniumlead-server/src/geraniumlead_server/resetting_connection.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/resetting_connection.py
@@ -2,13 +2,14 @@
 import socket
 import struct
 
-from aiohttp.client_proto import ResponseHandler
+from geraniumlead_server.answer_memory import AnswerMemory
+from geraniumlead_server.bounded_connection import FIRST_FINAL_STATUS, BoundedConnection
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Linux's ``struct linger``: on, for 0 s."""
 
 
-class ResettingConnection(ResponseHandler):
+class ResettingConnection(BoundedConnection):
     """A client's connection that is reset if it is closed before its request is answered.
 
     Failure: the network to an upstream is cut. The caller leaves, and the connection is closed. The
@@ -16,8 +17,8 @@
     arrives, with the time that was left when it was written. A reset discards those bytes.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop)
+    def __init__(self, loop: asyncio.AbstractEventLoop, memory: AnswerMemory) -> None:
+        super().__init__(loop, memory)
         self._is_answered = True
 
     def begin_request(self) -> None:
@@ -25,8 +26,8 @@
         self._is_answered = False
 
     def feed_data(self, data, size: int = 0) -> None:
-        """Record and queue the head of an answer."""
-        self._is_answered = True
+        """Record and queue the head of an answer; an interim one leaves the answer due."""
+        self._is_answered = self._is_answered or data[0].code >= FIRST_FINAL_STATUS
         super().feed_data(data, size)
 
     def close(self) -> None:
--- a/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/monitored_connector.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/monitored_connector.py
@@ -5,6 +5,7 @@
 
 from aiohttp import TCPConnector
 
+from geraniumlead_server.answer_memory import AnswerMemory
 from geraniumlead_server.resetting_connection import ResettingConnection
 
 
@@ -12,7 +13,7 @@
     """A connection that reports its end when the upstream caused it."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, owner: "MonitoredConnector") -> None:
-        super().__init__(loop)
+        super().__init__(loop, owner.memory)
         self._owner = owner
         self._is_closed_by_upstream = False
 
@@ -45,4 +46,5 @@
         super().__init__(**options)
         self.on_disconnect = on_disconnect
         self.open_count = 0
+        self.memory = AnswerMemory()
         self._factory = lambda: MonitoredHandler(self._loop, self)
--- a/packages/geraniumlead-server/tests/server_tests/peer_transport/test_transport.py
+++ b/packages/geraniumlead-server/tests/server_tests/peer_transport/test_transport.py
@@ -13,6 +13,7 @@
 from geraniumlead.settings import InstanceSettings, ListenSettings
 from geraniumlead_server.peer_transport import PeerCodec, PeerTransport
 from geraniumlead_server.peer_transport.published_keys import PublishedKeys
+from geraniumlead_server.peer_transport.transport import MAX_MESSAGE_BYTES
 from server_tests.ports import find_free_port
 
 MAX_WAIT_S = 5.0
@@ -85,6 +86,19 @@
         self.nodes.append(node)
         return node
 
+    async def test_a_message_without_end_closes_its_connection_and_others_get_through(self):
+        """Guards against a peer whose message takes all memory of the instance that receives it."""
+        receiver, sender = self.add("noord-1", False), self.add("noord-2", False)
+        context = zmq.Context()
+        self.addCleanup(context.destroy, linger=0)
+        dealer = context.socket(zmq.DEALER)
+        dealer.connect(f"tcp://{receiver.address}")
+        dealer.send(bytes(MAX_MESSAGE_BYTES + 1))
+        sender.send(receiver, "7")
+        await self.wait_for(lambda: receiver.received)
+        await asyncio.sleep(SETTLE_S)
+        self.assertEqual([("noord-2", "7")], receiver.received)
+
     async def wait_for(self, condition):
         async with asyncio.timeout(MAX_WAIT_S):
             while not condition():
--- a/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/subrequest_sender.py
@@ -4,6 +4,7 @@
 from geraniumlead.forwarding.crash_guard import CrashGuard
 from geraniumlead.forwarding.crash_refusal import CRASHES_UPSTREAMS
 from geraniumlead.forwarding.extra_attempt_cause import ExtraAttemptCause
+from geraniumlead.forwarding.merge import shorten_answer
 from geraniumlead.forwarding.open_request import Attempt, OpenRequest, Subrequest
 from geraniumlead.forwarding.results import (
     AttemptResult,
@@ -15,6 +16,7 @@
 )
 from geraniumlead.forwarding.waiting_subrequests import WaitingSubrequests
 from geraniumlead.published_upstreams import UpstreamRecord
+from geraniumlead.routes import FanOut
 
 NEVER_MS = float("inf")
 
@@ -226,6 +228,9 @@
                 if len(subrequest.tried) > 1 or now_ms > open_request.goal_ms:
                     what = f"answered after {now_ms - attempt.sent_ms:.0f} ms"
                     open_request.record_step(subrequest, upstream_id, what, now_ms)
+                match open_request.route.target:
+                    case FanOut(record_count=record_count):
+                        result = shorten_answer(result, record_count)
                 open_request.settle_answered(subrequest, result)
                 self._tracker.cancel(subrequest, now_ms)
                 return
--- a/packages/geraniumlead/src/geraniumlead/settings/platform_settings.py
+++ b/packages/geraniumlead/src/geraniumlead/settings/platform_settings.py
@@ -27,7 +27,8 @@
     ``extra_share`` and ``extra_slack`` limit the requests beyond the first attempts that all
     instances send to a service in ``extra_window_s``. ``cold_factor`` and ``cold_slack`` limit
     what all instances together send to a cold upstream per second: its own rate times the
-    factor, plus the slack.
+    factor, plus the slack. ``answer_bytes`` limits one answer of an upstream, with its head, and
+    ``open_answer_bytes`` all answers that this instance receives at the same time.
     """
 
     drain_ms: Milliseconds
@@ -39,6 +40,16 @@
     extra_window_s: Annotated[float, Meta(gt=0, le=600)]
     cold_factor: Annotated[float, Meta(ge=0)] = 1.0
     cold_slack: Annotated[float, Meta(ge=0)] = 0.0
+    answer_bytes: Annotated[int, Meta(ge=65_536, le=1 << 30)] = 4 * 1024 * 1024
+    open_answer_bytes: Annotated[int, Meta(ge=65_536, le=1 << 30)] = 16 * 1024 * 1024
+
+    def __post_init__(self) -> None:
+        """Raise ValueError if the limits contradict each other."""
+        if self.open_answer_bytes < self.answer_bytes:
+            raise ValueError(
+                f"open_answer_bytes ({self.open_answer_bytes}) must be at least answer_bytes "
+                f"({self.answer_bytes}): the longest answer has to fit"
+            )
 
 
 class PlatformSettings(Struct, frozen=True, kw_only=True):
--- a/packages/geraniumlead/tests/core_tests/forwarding/test_fan_out.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_fan_out.py
@@ -39,6 +39,19 @@
         self.assertEqual(0, reply.missing)
         self.assertEqual({"shard-0", "shard-1", "shard-2", "shard-3"}, set(reply.signatures))
 
+    def test_long_answers_are_kept_only_as_far_as_the_reply_needs_them(self):
+        """Guards against a query whose shards each answer as much as one answer may have."""
+        harness = self.build()
+        long = LOW * 2_000 + HIGH + MIDDLE * 2_000
+        attempts = harness.ask()
+        for attempt in attempts[:3]:
+            harness.end(attempt, build_answer(long, signature=attempt.upstream.service))
+        (open_request,) = harness.forwarder._runner._open.values()
+        answers = [item.answer for item in open_request.subrequests if item.answer is not None]
+        self.assertEqual([48, 48, 48], [len(answer.body) for answer in answers])
+        harness.end(attempts[3], build_answer(LOW, signature="shard-3"))
+        self.assertEqual(HIGH * 3, harness.replies[1].records)
+
     def test_the_work_per_answer_does_not_grow_with_the_shards(self):
         """A query goes to 135 shards, and their answers arrive one by one.
 
