--- a/packages/geraniumlead/tests/core_tests/peering/test_directory.py
+++ b/packages/geraniumlead/tests/core_tests/peering/test_directory.py
@@ -77,6 +77,25 @@
 
 
 class PeerDirectoryTests(TestCase):
+    def test_the_count_of_a_fleet_that_starts_is_not_known_at_first(self):
+        """Guards against limits that are divided by the few instances that one has heard of."""
+        fleet = SimulatedFleet(40, seeds=(0, 1, 2))
+        for until_ms, is_known in ((300.0, False), (STARTUP_MS - 500.0, False), (5_000.0, True)):
+            fleet.run_until(until_ms)
+            found = {member.is_count_known(fleet.now_ms) for member in fleet.members}
+            self.assertEqual({is_known}, found)
+
+    def test_the_count_of_an_instance_that_hears_nobody_is_never_known(self):
+        fleet = SimulatedFleet(4, seeds=(0, 1, 2))
+        fleet.blocked_links = {(number, 3) for number in range(3)}
+        fleet.run_until(20_000.0)
+        found = [member.is_count_known(fleet.now_ms) for member in fleet.members]
+        self.assertEqual([True, True, True, False], found)
+
+    def test_an_instance_without_seeds_is_the_whole_fleet(self):
+        fleet = SimulatedFleet(1, seeds=())
+        self.assertTrue(fleet.members[0].is_count_known(0.0))
+
     def test_all_instances_discover_each_other_from_one_live_seed(self):
         fleet = SimulatedFleet(7, seeds=(3, 98, 99))
         fleet.run_until(2_000.0)
