--- a/packages/geraniumlead-client/src/geraniumlead_client/commands/extra_attempts.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/commands/extra_attempts.py
@@ -1,7 +1,7 @@
 from argparse import ArgumentParser, Namespace
 
 from geraniumlead_client.exit_codes import FOUND_PROBLEMS, NOT_FOUND, OK
-from geraniumlead_client.extra_attempt_report import ExtraAttemptReport, describe
+from geraniumlead_client.extra_attempt_report import ExtraAttemptReport, build_row
 from geraniumlead_client.log_files import add_log_files, report_skipped
 from geraniumlead_client.management_command import ManagementCommand
 from geraniumlead_client.printing import print_error, print_json
@@ -35,17 +35,7 @@
         if arguments.json:
             print_json({"services": windows})
         else:
-            rows = [describe(window) for window in windows[:MAX_SERVICES_SHOWN]]
-            headers = [
-                "service",
-                "sent",
-                "requests",
-                "allowed",
-                "used",
-                "until",
-                "causes",
-                "denied",
-            ]
-            print(render_table(headers, rows))
+            rows = [build_row(window) for window in windows[:MAX_SERVICES_SHOWN]]
+            print(render_table(HEADERS, rows))
         is_exceeded = windows[0].used_share > 1.0
         return FOUND_PROBLEMS if is_exceeded or unreadable_files else OK
--- a/packages/geraniumlead-client/src/geraniumlead_client/extra_attempt_report.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/extra_attempt_report.py
@@ -109,9 +109,8 @@
             at_s for route in self._routes[service] for at_s in self._requests[route]
         )
         causes = dict(self._causes[service])
-        worst = ServiceWindow(
-            service, 0, 0, allowed.slack, "", 0.0, causes, causes.pop("denied", 0)
-        )
+        denied = causes.pop("denied", 0)
+        worst = ServiceWindow(service, 0, 0, allowed.slack, "", 0.0, causes, denied)
         for position, end_s in enumerate(times_s):
             first = bisect_right(times_s, end_s - allowed.window_s)
             count = sums[position + 1] - sums[first]
@@ -138,7 +137,7 @@
     return datetime.fromisoformat(line.time).timestamp()
 
 
-def describe(window: ServiceWindow) -> list[Any]:
+def build_row(window: ServiceWindow) -> list[Any]:
     """Return the cells of a table row for one service."""
     return [
         window.service,
