Leave settled processes their whole part of the extra attempts

Cause: an instance of 73 had 2.04 extra attempts for a service and was left with 1.43, which is one in place of two, and a process that started had none.

Change: a process that has run for a window uses 0.9 of the share and 0.8 of its slack as before. One that has run for less uses 0.08 and 0.15, which were left unused so far; both together stay below the bound, whatever restarts. The starting part is rounded by a hash of instance and service, so that some of the instances have one attempt.

Evidence: test_extra_attempt_allowance plays fleets of 1 to 195 whose instances spend all that they may, restart in series and lose power right after; test_extra_attempt_bound as before. The price after a restart stays.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/extra_attempt_budget.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/extra_attempt_budget.py
@@ -16,9 +16,10 @@
     divided among the instances.
     """
 
-    __slots__ = ("_allowance", "_extra", "_first", "_steps")
+    __slots__ = ("_allowance", "_extra", "_first", "_service", "_steps")
 
-    def __init__(self, allowance: ExtraAttemptAllowance) -> None:
+    def __init__(self, service: str, allowance: ExtraAttemptAllowance) -> None:
+        self._service = service
         self._allowance = allowance
         self._steps: deque[list[float]] = deque()
         self._first = 0
@@ -37,8 +38,7 @@
     def remaining(self, now_ms: float) -> float:
         """Return how many extra attempts may be sent now."""
         self._drop_old_steps(now_ms)
-        allowance = self._allowance
-        return allowance.share(now_ms) * self._first + allowance.slack(now_ms) - self._extra
+        return self._allowance.limit(self._service, self._first, now_ms) - self._extra
 
     def remaining_share(self, now_ms: float) -> float:
         """Return the unused part (0 to 1) of the window's budget."""
--- a/packages/geraniumlead/src/geraniumlead/forwarding/extra_attempt_budgets.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/extra_attempt_budgets.py
@@ -73,7 +73,7 @@
         settings = self._settings
         fields = {
             "instances": self._allowance.instances,
-            "slack": round(self._allowance.slack(now_ms), 2),
+            "is_starting": not self._allowance.is_settled(now_ms),
             "allowed_share": settings.extra_share,
             "allowed_slack": settings.extra_slack,
             "window_ms": settings.extra_window_ms,
@@ -88,5 +88,5 @@
     def _budget_of(self, service: str) -> ExtraAttemptBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = ExtraAttemptBudget(self._allowance)
+            budget = self._budgets[service] = ExtraAttemptBudget(service, self._allowance)
         return budget
