Run the model of one forwarder with a process that has run for some windows

Change: the model is of an instance that serves, so its process starts 30 s before the first request. The check and its bound stay as they are.

--- a/packages/geraniumlead-standins/src/geraniumlead_standins/bench/forwarding_bound/forwarder_run.py
+++ b/packages/geraniumlead-standins/src/geraniumlead_standins/bench/forwarding_bound/forwarder_run.py
@@ -40,9 +40,12 @@
 MAX_CONNECTIONS = 26
 INSTANCES = 6
 
+STARTED_MS = -30_000.0
+"""Start of the process: it has run for some windows of the fleet's limits when requests come."""
+
 
 class ForwarderRun:
-    """A run of one forwarder with modelled upstreams, in virtual time.
+    """A run of one settled forwarder with modelled upstreams, in virtual time.
 
     The caller has no round-trip time to the instance, and writing takes no time.
     """
@@ -64,7 +67,7 @@
             extra_share=0.2,
             extra_slack=50.0 / INSTANCES,
         )
-        self._forwarder = Forwarder(settings, Random(seed))
+        self._forwarder = Forwarder(settings, Random(seed), STARTED_MS)
         self._execute(self._forwarder.handle(self._build_updates(), 0.0), 0.0)
         for key, at_ms in enumerate(load.build_arrivals(seed), start=1):
             self._push(at_ms, self._build_request(key, at_ms))
