--- a/packages/geraniumlead/tests/core_tests/forwarding/test_extra_attempt_allowance.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_extra_attempt_allowance.py
@@ -73,12 +73,19 @@
 class ExtraAttemptAllowanceTests(TestCase):
     def test_restarts_at_any_time_stay_within_the_bound(self):
         """Guards against processes of one instance that each spend what the last one has spent."""
-        for instances in (1, 7, 73):
-            for seed in range(8):
-                with self.subTest(instances=instances, seed=seed):
-                    settings = build_limits(extra_slack=186.0)
-                    fleet = self.play_restarts(settings, instances, Random(seed))
-                    self.assertLessEqual(worst_use(settings, fleet), 1.0)
+        for instances in (1, 7, 73, 195):
+            self.check_restarts(instances)
+
+    def test_restarts_of_eighteen_instances_stay_within_the_bound(self):
+        """Guards against a starting part that is rounded up at each restart of the same instances."""
+        self.check_restarts(18)
+
+    def check_restarts(self, instances: int) -> None:
+        for seed in range(8):
+            with self.subTest(instances=instances, seed=seed):
+                settings = build_limits(extra_slack=186.0)
+                fleet = self.play_restarts(settings, instances, Random(seed))
+                self.assertLessEqual(worst_use(settings, fleet), 1.0)
 
     def play_restarts(
         self, settings: ForwardingSettings, instances: int, random: Random
