--- a/packages/geraniumlead/tests/core_tests/forwarding/test_extra_attempt_allowance.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/test_extra_attempt_allowance.py
@@ -77,7 +77,7 @@
             self.check_restarts(instances)
 
     def test_restarts_of_eighteen_instances_stay_within_the_bound(self):
-        """Guards against a starting part that is rounded up at each restart of the same instances."""
+        """Guards against a starting part that is rounded up at each restart of an instance."""
         self.check_restarts(18)
 
     def check_restarts(self, instances: int) -> None:
