Log and join the attempts of all instances for one request and shard

What operators saw: a trace shows second attempts only. For one request and shard, the upstreams that an instance and its peer may both have reached stood in no line, so no play could tell how near it came to a route's maximum.

Cause: request lines name steps, and a peer's first attempts are none.

Change: a request line has the upstreams of each shard that more than one attempt may have reached (a peer that was told that its shards are queried elsewhere names those of all), and geraniumlead extra-attempts joins the lines of all instances. Calm requests get no longer line. No decision changed.

Evidence: test_attempts_of_two_instances_for_one_shard_are_joined; the other tests of the command pass.

--- a/packages/geraniumlead-client/src/geraniumlead_client/extra_attempt_report.py
+++ b/packages/geraniumlead-client/src/geraniumlead_client/extra_attempt_report.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from geraniumlead_client.log_lines import LogLine, SkippedLine
+from geraniumlead_client.shard_attempt_report import ShardAttemptReport
 
 NOT_SENT = frozenset({"denied", "left"})
 """Fields of a service that are no counts of attempts that were sent."""
@@ -51,6 +52,7 @@
     """
 
     skipped: list[SkippedLine] = field(default_factory=list)
+    shards: ShardAttemptReport = field(default_factory=ShardAttemptReport)
     _sent: dict[str, list[tuple[float, int]]] = field(default_factory=lambda: defaultdict(list))
     _causes: dict[str, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
     _requests: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
@@ -67,6 +69,7 @@
                     self._add_attempts(line)
                 case LogLine(fields={"event": "request"}):
                     self._add_request(line)
+                    self.shards.add([line])
 
     def nearest(self) -> list[ServiceWindow]:
         """Return the worst window of each service, the nearest to the bound first."""
--- a/packages/geraniumlead-client/tests/client_tests/commands/test_extra_attempts.py
+++ b/packages/geraniumlead-client/tests/client_tests/commands/test_extra_attempts.py
@@ -36,11 +36,15 @@
 
 class ExtraAttemptsCommandTests(TestCase):
     def run_report(self, *lines: str) -> tuple[int, dict]:
+        code, found = self.run_whole_report(*lines)
+        return code, found["services"][0]
+
+    def run_whole_report(self, *lines: str) -> tuple[int, dict]:
         with TemporaryDirectory() as folder:
             path = Path(folder) / "1.log"
             path.write_text("\n".join(lines) + "\n")
             code, output, _ = run_command("extra-attempts", "--json", str(path))
-        return code, loads(output)["services"][0]
+        return code, loads(output)
 
     def test_the_attempts_of_all_instances_are_added_up(self):
         """Guards against a bound that each instance keeps, and all of them together do not."""
@@ -71,6 +75,25 @@
             (50, 20.0, 0.5), (found["requests"], found["allowed"], found["used_share"])
         )
 
+    def test_attempts_of_two_instances_for_one_shard_are_joined(self):
+        """Guards against three upstreams of a shard by two instances that sent to two each."""
+        one = {"request_id": "r1", "max_upstreams": 2, "attempts": {"shard": ["i-1", "i-2"]}}
+        other = one | {"instance": "entry-2", "attempts": {"shard": ["i-2"]}}
+        third = one | {"instance": "entry-3", "attempts": {"shard": ["i-2", "i-3"]}}
+        second = one | {"request_id": "r2", "attempts": {"shard": ["i-4", "i-5"], "other": ["i-6"]}}
+        base = build_attempts(3.0, "entry-1", shard={"late": 1})
+        lines = [build_request(2.0, **fields) for fields in (one, other, second)]
+        code, found = self.run_whole_report(base, *lines)
+        shards = found["shards"]
+        self.assertEqual((0, 2, 1), (code, shards["requests"], shards["by_several_instances"]))
+        self.assertEqual(0, shards["requests_over"])
+        code, found = self.run_whole_report(base, *lines, build_request(2.1, **third))
+        shards = found["shards"]
+        self.assertEqual((1, 1), (code, shards["requests_over"]))
+        (worst,) = shards["worst"]
+        self.assertEqual(["i-1", "i-2", "i-3"], worst["upstreams"])
+        self.assertEqual(["entry-1", "entry-2", "entry-3"], worst["instances"])
+
     def test_logs_without_extra_attempts_are_reported(self):
         with TemporaryDirectory() as folder:
             path = Path(folder) / "1.log"
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_log.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_log.py
@@ -31,6 +31,10 @@
     ]
     if missing:
         fields["missing"] = missing
+    attempts = _describe_attempts(open_request)
+    if attempts:
+        fields["attempts"] = attempts
+        fields["max_upstreams"] = open_request.route.max_upstreams
     match reply:
         case RelayedReply(answer=answer):
             fields["status"] = answer.status
@@ -43,6 +47,19 @@
     return fields, "info" if is_good else "warning"
 
 
+def _describe_attempts(open_request: OpenRequest) -> dict[str, list[str]]:
+    """Return the upstreams of each shard that more than one attempt may have reached.
+
+    Two instances may send attempts for the same shard, and each line has those of one instance. A
+    peer whose shards are queried elsewhere as well names the upstreams of all of them.
+    """
+    return {
+        subrequest.service: [name for name in subrequest.sent_to if name is not None]
+        for subrequest in open_request.subrequests
+        if len(subrequest.sent_to) > 1 or (open_request.is_hedged and subrequest.sent_to)
+    }
+
+
 def _describe_time(open_request: OpenRequest) -> dict:
     """Return how long a request waited, what its caller had left, and what attempts were handed."""
     request, deadline = open_request.request, open_request.deadline
