--- a/packages/geraniumlead/tests/core_tests/forwarding/fleet_harness.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/fleet_harness.py
@@ -57,6 +57,10 @@
             self.members[address] = ForwarderHarness(self._settings[address], seed=number + 1)
         self.silent: set[str] = set()
         self.slow_ms: dict[str, float] = {}
+        self.unread_ms: dict[str, float] = {}
+        self._read_until_ms: dict[str, float] = defaultdict(float)
+        self._loop_random = Random(1)
+        self.frozen: set[str] = set()
         self.disorder: Random | None = None
         self.max_delay_ms = 0.0
         self.older: set[str] = set()
@@ -76,10 +80,17 @@
     def run_until(self, until_ms: float) -> None:
         while self.now_ms < until_ms:
             self.now_ms = min(until_ms, self.now_ms + STEP_MS)
-            for member in self.members.values():
-                member.run_until(self.now_ms)
+            for address, member in self.members.items():
+                if address not in self.frozen:
+                    member.run_until(self.now_ms)
             self.deliver()
 
+    def thaw(self) -> None:
+        """Let the frozen instances go on; their timers are late."""
+        for address in self.frozen:
+            self.members[address].now_ms = self.now_ms
+        self.frozen = set()
+
     def deliver(self) -> None:
         """Deliver all messages that are due, and the responses to them."""
         self._deliver_late()
@@ -134,13 +145,23 @@
             decode_peering(data),
             envelope=NO_ENVELOPE if address in self.older else envelope,
         )
-        for late_ms in self._draw_delays_ms(address):
-            if late_ms:
+        unread_ms = self._draw_unread_ms(outgoing.address)
+        for way_ms in self._draw_delays_ms(address):
+            late_ms = way_ms + unread_ms
+            if late_ms or outgoing.address in self.frozen:
                 due_ms = self.now_ms + late_ms
                 self._delayed.append((due_ms, outgoing.address, event))
             else:
                 self.members[outgoing.address].handle(event)
 
+    def _draw_unread_ms(self, address: str) -> float:
+        """Return how long a message waits until a busy instance reads it, after those before it."""
+        if address not in self.unread_ms:
+            return 0.0
+        read_ms = self.now_ms + self._loop_random.uniform(0.0, self.unread_ms[address])
+        self._read_until_ms[address] = max(self._read_until_ms[address], read_ms)
+        return self._read_until_ms[address] - self.now_ms
+
     def _draw_delays_ms(self, address: str) -> list[float]:
         """Return the delay of each copy of a message that arrives."""
         late_ms = self.slow_ms.get(address, 0.0)
@@ -149,8 +170,12 @@
         copies = 2 if self.disorder.random() < DOUBLED_SHARE else 1
         return [late_ms + self.disorder.uniform(0.0, self.max_delay_ms) for _ in range(copies)]
 
+    def _is_due(self, entry: tuple[float, str, PeerMessageReceived]) -> bool:
+        due_ms, address, _ = entry
+        return due_ms <= self.now_ms and address not in self.frozen
+
     def _deliver_late(self) -> None:
-        due = [entry for entry in self._delayed if entry[0] <= self.now_ms]
-        self._delayed = [entry for entry in self._delayed if entry[0] > self.now_ms]
+        due = [entry for entry in self._delayed if self._is_due(entry)]
+        self._delayed = [entry for entry in self._delayed if not self._is_due(entry)]
         for _, address, event in sorted(due, key=lambda entry: entry[0]):
             self.members[address].handle(event)
