Divide the upstreams of a shard between two instances when it is delegated

Cause: the instance that delegated a shard counted one attempt for a peer that it did not hear, and made the other itself. A peer that was only busy made its second attempt before it read that it should not. The limit held only if a message arrived in time.

Change: the delegated request names one upstream of each shard. Until the peer's final reply the instance reaches that one only; the peer may reach it and one less than the route allows besides. Together they reach no more, in whatever order and whatever is lost. The message that asks for no second attempt stays, since it spares the budget.

Evidence: test_shard_attempt_bound, 12 plays of busy, frozen, restarted instances and lost, late, repeated messages, failed before in 11 (1 to 21 shards a play) and passes.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/attempt_tracker.py
@@ -17,6 +17,12 @@
     PossiblyExecuted,
 )
 from geraniumlead.forwarding.upstream_chooser import UpstreamChooser
+from geraniumlead.forwarding.upstream_share import (
+    AllowedUpstreams,
+    NoUpstream,
+    OnlyUpstream,
+    find_allowed,
+)
 from geraniumlead.published_upstreams import UpstreamRecord, UpstreamView
 from geraniumlead.settings.forwarding_settings import ForwardingSettings
 
@@ -66,7 +72,8 @@
         """Return the upstream for the next attempt of a subrequest, or None."""
         open_request = subrequest.request
         service = open_request.configuration.services.get(subrequest.service)
-        if service is None or len(subrequest.sent_to) >= open_request.route.max_upstreams:
+        allowed = _find_allowed(subrequest)
+        if service is None or isinstance(allowed, NoUpstream):
             return None
         median_latency_ms = self.lateness.median_latency_ms(open_request.route, now_ms)
         return self.chooser.choose(
@@ -76,6 +83,7 @@
             median_latency_ms,
             now_ms,
             skip_avoided=skip_avoided,
+            only_id=_only_id_of(allowed),
         )
 
     def choose_in_time(
@@ -106,10 +114,17 @@
     def could_wait(self, subrequest: Subrequest, now_ms: float) -> bool:
         """Return whether a subrequest only lacks a free call slot at an upstream."""
         open_request = subrequest.request
+        allowed = _find_allowed(subrequest)
         if subrequest.service not in open_request.configuration.services:
             return False
+        if isinstance(allowed, NoUpstream):
+            return False
         return self.chooser.has_untried(
-            open_request.route, subrequest.service, subrequest.tried, now_ms
+            open_request.route,
+            subrequest.service,
+            subrequest.tried,
+            now_ms,
+            only_id=_only_id_of(allowed),
         )
 
     def send(self, subrequest: Subrequest, upstream: UpstreamRecord, now_ms: float) -> None:
@@ -230,6 +245,19 @@
                 estimate.record_failure(now_ms)
 
 
+def _find_allowed(subrequest: Subrequest) -> AllowedUpstreams:
+    """Return which upstreams the next attempt of a subrequest may go to."""
+    max_upstreams = subrequest.request.route.max_upstreams
+    return find_allowed(subrequest.share, subrequest.sent_to, max_upstreams)
+
+
+def _only_id_of(allowed: AllowedUpstreams) -> str | None:
+    match allowed:
+        case OnlyUpstream(upstream_id=upstream_id):
+            return upstream_id
+    return None
+
+
 def process_of(upstream: UpstreamRecord) -> int:
     """Return the number of an upstream's present process."""
     return hash_process(upstream.upstream_id, upstream.started_ms)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegated_request_registry.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegated_request_registry.py
@@ -53,6 +53,7 @@
             waited_ms=waited_ms,
             goal_left_ms=message.goal_left_ms,
             shards=message.shards,
+            shared_upstreams=dict(zip(message.shards, message.shared_upstreams, strict=False)),
         )
 
     def find_key(self, sender: ProcessId, number: int) -> int | None:
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegated_subrequests.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegated_subrequests.py
@@ -7,6 +7,7 @@
 from geraniumlead.forwarding.open_request import OpenRequest, Subrequest
 from geraniumlead.forwarding.results import Completed
 from geraniumlead.forwarding.subrequest_sender import SubrequestSender
+from geraniumlead.forwarding.upstream_share import NOT_SHARED, SentByPeer
 from geraniumlead.peering import CrashReports, DelegatedReply, PeerContact, ProcessId
 from geraniumlead.published_upstreams import UpstreamRecord
 
@@ -44,10 +45,12 @@
         """Delegate subrequests to peers as planned; return those to send from here."""
         if not open_request.is_fan_out:
             return chosen
+        upstream_ids = {subrequest.service: upstream.upstream_id for subrequest, upstream in chosen}
         for assignment in self._planner.assign(open_request, chosen, now_ms):
             for subrequest in assignment.subrequests:
                 subrequest.may_have_run = True
                 subrequest.is_delegated = True
+                subrequest.share = SentByPeer(upstream_ids[subrequest.service])
             message = self.tracker.start(
                 open_request, assignment.subrequests, assignment.peer, now_ms
             )
@@ -78,14 +81,17 @@
                 for position, upstream_ids in reply.tried
                 if (subrequest := delegation.subrequest_at(position)) is not None
             }
+            for subrequest in delegation.subrequests:
+                # The peer sends nothing more, and has named all that it sent.
+                subrequest.share = NOT_SHARED
             self._send_from_here(delegation, tried, reason, now_ms, not reply.is_declined)
 
     def hedge(self, delegation: Delegation, now_ms: float) -> None:
         """Send subrequests from here as well while the peer may still answer them.
 
         The peer may have sent each of them once, and only its acknowledgement may be late or lost.
-        A message asks it not to retry any of them: together, both instances would reach more
-        upstreams than the route allows.
+        A message asks it not to retry any of them, which spares the budget; the upstreams that
+        either may reach don't depend on it.
         """
         missing = [subrequest for subrequest in delegation.subrequests if not subrequest.is_settled]
         if not delegation.is_hedged:
@@ -96,7 +102,10 @@
         self._sender.hedge_delegated(missing, delegation.lateness is Lateness.REPLY, now_ms)
 
     def reclaim(self, delegation: Delegation, reason: str, now_ms: float) -> None:
-        """Cancel a delegation and send its unanswered subrequests from here."""
+        """Cancel a delegation and send its unanswered subrequests from here.
+
+        What the peer has sent is not known, so they still go to the upstream that both may reach.
+        """
         self._actions.append(self.tracker.build_cancel_message(delegation))
         self._send_from_here(delegation, {}, reason, now_ms)
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegation_tracker.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegation_tracker.py
@@ -4,6 +4,7 @@
 from geraniumlead.forwarding.aggregator_chooser import MAX_ACK_GOAL_SHARE, MIN_GOAL_LEFT_MS
 from geraniumlead.forwarding.open_request import OpenRequest, Subrequest
 from geraniumlead.forwarding.processing_delay import DelaySamples
+from geraniumlead.forwarding.upstream_share import SentByPeer
 from geraniumlead.forwarding.wake_times import WakeTimes
 from geraniumlead.peering import (
     UNKNOWN_INCARNATION,
@@ -156,6 +157,7 @@
             goal_left_ms=goal_left_ms,
             sender=self._own_contact,
             end_ms=peer.clock_offset.to_other_clock_ms(open_request.end_ms),
+            shared_upstreams=tuple(_shared_upstream_of(found) for found in subrequests),
         )
         return peer.address_message(message)
 
@@ -278,6 +280,14 @@
         return delegation.peer.address_message(message, delegation.peer_incarnation)
 
 
+def _shared_upstream_of(subrequest: Subrequest) -> str:
+    """Return the upstream of a delegated subrequest that this instance may reach as well."""
+    match subrequest.share:
+        case SentByPeer(upstream_id=upstream_id):
+            return upstream_id
+    raise ValueError(f"{subrequest.service} is delegated without an upstream that both may reach")
+
+
 def find_delegated_route(message: DelegatedRequest, configuration) -> Route | None:
     """Return the route for a delegated request; None if the request has to be declined.
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/forwarded_request.py
@@ -15,8 +15,8 @@
     passed at ``arrived_ms``: in a socket while this process was busy, or, for a peer's request, on
     the way. ``caller_rtt_ms`` is how long the request took from the caller to this instance plus
     how long the reply will take back. Only requests that a peer delegated to this instance have
-    ``goal_left_ms``, the time from the arrival until the reply has to be sent, and ``shards``, the
-    shards to query.
+    ``goal_left_ms``, the time from the arrival until the reply has to be sent, ``shards``, the
+    shards to query, and ``shared_upstreams``, the upstream of each that the peer may query as well.
     """
 
     key: int
@@ -33,6 +33,7 @@
     waited_ms: float = 0.0
     goal_left_ms: float | None = None
     shards: tuple[str, ...] = ()
+    shared_upstreams: dict[str, str] = field(default_factory=dict)
     _fingerprint: int | None = field(default=None, repr=False, compare=False)
 
     @property
--- a/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/open_request.py
@@ -9,6 +9,7 @@
     compute_part_fingerprint,
 )
 from geraniumlead.forwarding.results import Completed
+from geraniumlead.forwarding.upstream_share import NOT_SHARED, UpstreamShare
 from geraniumlead.published_upstreams import UpstreamRecord
 from geraniumlead.routes import FanOut, PublishedConfiguration, Route
 
@@ -40,8 +41,8 @@
     ``sent_to`` holds an entry for each attempt that may have arrived, including the attempts of a
     peer; None stands for an attempt whose upstream the peer did not name. ``is_delegated`` is set
     while a peer is responsible for the subrequest, and ``is_held`` while it waits for an answer of
-    another one, since the request may crash upstreams. ``crashes`` holds the upstreams that were
-    lost under it.
+    another one, since the request may crash upstreams. ``share`` is which upstreams another
+    instance may reach for it, too. ``crashes`` holds the upstreams that were lost under it.
     """
 
     request: "OpenRequest"
@@ -54,6 +55,7 @@
     is_delegated: bool = False
     is_held: bool = False
     is_reported: bool = False
+    share: UpstreamShare = NOT_SHARED
     crashes: list[Crash] = field(default_factory=list)
     answer: Completed | None = None
     failure: str | None = None
--- a/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/request_runner.py
@@ -20,6 +20,7 @@
 from geraniumlead.forwarding.retry_after import RetryAfter
 from geraniumlead.forwarding.subrequest_sender import NO_UPSTREAM, TOO_LATE, SubrequestSender
 from geraniumlead.forwarding.upstream_chooser import UpstreamChooser
+from geraniumlead.forwarding.upstream_share import NOT_SHARED, SentForPeer, UpstreamShare
 from geraniumlead.forwarding.waiting_subrequests import MAX_WAIT_GOAL_SHARE
 from geraniumlead.forwarding.wake_times import NEVER_MS, WakeTimes
 from geraniumlead.peering import CrashReports, DelegatedReply, PeerDirectory
@@ -119,7 +120,10 @@
         open_request = OpenRequest(
             request, route, configuration, goal_ms, deadline, margin_ms, view_age_ms
         )
-        open_request.subrequests = [Subrequest(open_request, service) for service in services]
+        open_request.subrequests = [
+            Subrequest(open_request, service, share=_share_of(request, service))
+            for service in services
+        ]
         self._open[request.key] = open_request
         chosen = self._sender.choose_upstreams(open_request, now_ms)
         if open_request.cannot_succeed:
@@ -353,3 +357,9 @@
     def _log(self, open_request: OpenRequest, reason: str, reply, now_ms: float) -> None:
         fields, level = describe_request(open_request, reason, reply, now_ms)
         self._actions.append(LogDecision("request", fields, level))
+
+
+def _share_of(request: ForwardedRequest, service: str) -> UpstreamShare:
+    """Return which upstreams of a service the peer that delegated a request may reach."""
+    upstream_id = request.shared_upstreams.get(service)
+    return NOT_SHARED if upstream_id is None else SentForPeer(upstream_id)
--- a/packages/geraniumlead/src/geraniumlead/forwarding/upstream_chooser.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/upstream_chooser.py
@@ -107,11 +107,20 @@
         return min(rtts_ms, default=first_relative_rtt_ms)
 
     def has_untried(
-        self, route: Route, service: str, tried: Collection[str], now_ms: float
+        self,
+        route: Route,
+        service: str,
+        tried: Collection[str],
+        now_ms: float,
+        only_id: str | None = None,
     ) -> bool:
-        """Return whether any untried upstream may be used, now or once it has a free slot."""
+        """Return whether any untried upstream may be used, now or once it has a free slot.
+
+        ``only_id`` is the one that may be used, if it is not any.
+        """
         return any(
             record.upstream_id not in tried
+            and only_id in (None, record.upstream_id)
             and self._is_allowed(route, record)
             and now_ms >= self.estimate_of(record.upstream_id).excluded_until_ms
             for record in self._upstream_view.usable(service)
@@ -125,15 +134,18 @@
         median_latency_ms: float,
         now_ms: float,
         skip_avoided: bool = False,
+        only_id: str | None = None,
     ) -> UpstreamRecord | None:
         """Return the best upstream that was not tried; None if there is none.
 
         ``skip_avoided`` leaves out upstreams that are avoided at present, which otherwise only get
-        a penalty.
+        a penalty. ``only_id`` is the one that may be used, if it is not any.
         """
         max_in_flight = self._max_in_flight(service)
         best, best_ms = None, float("inf")
         for record in self._upstream_view.usable(service.name):
+            if only_id is not None and record.upstream_id != only_id:
+                continue
             estimate = self.estimate_of(record.upstream_id)
             if record.upstream_id in tried or estimate.in_flight >= max_in_flight:
                 continue
--- a/packages/geraniumlead/src/geraniumlead/peering/messages.py
+++ b/packages/geraniumlead/src/geraniumlead/peering/messages.py
@@ -66,6 +66,9 @@
     it has by then. ``sender`` is where the reply goes, for a peer that has just started and does
     not know the sender. ``end_ms`` is when the request ends, on the receiver's clock;
     None while the sender doesn't know that clock, and then ``sent_unix_ms`` is its time of day.
+    ``shared_upstreams`` names for each shard the upstream that the sender may query itself; the
+    peer may query it too, and besides it one less than the route allows. An older version names
+    none.
     """
 
     number: int
@@ -84,6 +87,7 @@
     sender: PeerContact | None = None
     end_ms: float | None = None
     sent_unix_ms: float | None = None
+    shared_upstreams: tuple[str, ...] = ()
 
 
 class DelegationAcknowledged(Struct, frozen=True, array_like=True, tag="taken"):
--- a/packages/geraniumlead/tests/core_tests/forwarding/shard_attempt_fleet.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/shard_attempt_fleet.py
@@ -60,6 +60,7 @@
         self.down: set[str] = set()
         self.lost_share = 0.0
         self.queries = 0
+        self._refused: set[int] = set()
         self._reached: dict[tuple[str, str], set[str]] = defaultdict(set)
         self._senders: dict[tuple[str, str], set[int]] = defaultdict(set)
         self._read: dict[int, int] = {}
@@ -132,7 +133,9 @@
     def _record_attempt(self, member: ForwarderHarness, attempt: StartAttempt) -> None:
         upstream_id = attempt.upstream.upstream_id
         work_ms = CONNECT_MS
-        if upstream_id not in self.down:
+        if upstream_id in self.down:
+            self._refused.add(id(attempt))
+        else:
             key = attempt.request.request_id, attempt.upstream.service
             self._reached[key].add(upstream_id)
             self._senders[key].add(id(member))
@@ -159,7 +162,7 @@
         return is_any_due
 
     def _result_of(self, attempt: StartAttempt):
-        if attempt.upstream.upstream_id in self.down:
+        if id(attempt) in self._refused:
             return NotReached("refused")
         if self.random.random() < self.lost_share:
             return PossiblyExecuted("reset")
