Serve no delegated request that has ended, and number the model's processes

What callers saw: nothing yet. A delegated request that came after its cancellation, or once more after the reply, was served anew, so upstreams worked for nobody, and after a reply or a declined request the other instance may already have sent the shards elsewhere.

Cause: a peer forgot a delegation with its end. Cancellation and request can overtake each other when a connection is replaced while its bytes are held up.

Change: the latest 4,096 ended, cancelled or declined delegations are remembered, and a message of one of them is dropped with a line.

The model of test_shard_attempt_bound took a new process for an ended one that had stood at the same place in memory, so test_restarted_instances gave another result each run and could count a refused attempt as arrived. Processes have numbers now.

--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegated_request_registry.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegated_request_registry.py
@@ -1,3 +1,4 @@
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from geraniumlead.forwarding.forwarded_request import ForwardedRequest
@@ -6,6 +7,10 @@
 from geraniumlead.peering import DelegatedReply, DelegatedRequest, ProcessId
 from geraniumlead.routes import FanOut
 
+MAX_ENDED = 4_096
+"""Number of ended delegations that are remembered: those of half a second at the most that one
+instance serves, or of minutes in a small fleet."""
+
 
 @dataclass(frozen=True, slots=True)
 class DelegationId:
@@ -19,14 +24,30 @@
     """Maps the requests that peers delegate to local keys, and builds the replies to them.
 
     The keys of delegated requests are negative, so they never collide with those of callers.
+
+    Failure: a connection between two instances is replaced while the network holds up its bytes.
+    The cancellation of a request arrives over the new one, then the request, and upstreams work
+    for a caller who has left. So the delegations that have ended are remembered for a while.
     """
 
-    __slots__ = ("_ids", "_keys", "_last_key")
+    __slots__ = ("_ended", "_ids", "_keys", "_last_key")
 
     def __init__(self) -> None:
         self._last_key = 0
         self._ids: dict[int, DelegationId] = {}
         self._keys: dict[DelegationId, int] = {}
+        self._ended: OrderedDict[DelegationId, str | None] = OrderedDict()
+
+    def has_ended(self, sender: ProcessId, message: DelegatedRequest) -> bool:
+        """Return whether a request was cancelled, declined or replied to before this message came.
+
+        The number alone does not tell: an earlier process of a peer that states no incarnation may
+        have given it to another request.
+        """
+        delegation_id = DelegationId(sender, message.number)
+        if delegation_id not in self._ended:
+            return False
+        return self._ended[delegation_id] in (None, message.request_id)
 
     def register(
         self, sender: ProcessId, message: DelegatedRequest, waited_ms: float, now_ms: float
@@ -66,12 +87,22 @@
         return None if delegation_id is None else delegation_id.sender
 
     def pop_key(self, sender: ProcessId, number: int) -> int | None:
-        """Remove a request cancelled by its sender; return its key, or None if it has ended."""
+        """Remove a request; return its key, or None if it is not open."""
         key = self._keys.pop(DelegationId(sender, number), None)
         if key is not None:
             del self._ids[key]
         return key
 
+    def cancel(self, sender: ProcessId, number: int) -> int | None:
+        """Remove a request cancelled by its sender; return its key, or None if it is not open.
+
+        Its message may still be to come.
+        """
+        delegation_id = DelegationId(sender, number)
+        if delegation_id not in self._ended:
+            self._record_ended(delegation_id, None)
+        return self.pop_key(sender, number)
+
     def pop_keys_of(self, sender: ProcessId) -> list[int]:
         """Remove the requests of a process that is gone; return their keys."""
         numbers = [found.number for found in self._keys if found.sender == sender]
@@ -82,6 +113,7 @@
         """Remove a request that ends; return the process that sent it, and the final reply."""
         delegation_id = self._ids.pop(open_request.request.key)
         del self._keys[delegation_id]
+        self._record_ended(delegation_id, open_request.request.request_id)
         positions = _positions_of(open_request)
         tried = tuple(
             (positions[subrequest.service], tuple(subrequest.sent_to))
@@ -97,6 +129,15 @@
         reply = self._build_reply(delegation_id.number, open_request, is_final=False)
         return delegation_id.sender, reply
 
+    def record_declined(self, sender: ProcessId, message: DelegatedRequest) -> None:
+        """Record that a request was declined, so that its sender now sends the shards itself."""
+        self._record_ended(DelegationId(sender, message.number), message.request_id)
+
+    def _record_ended(self, delegation_id: DelegationId, request_id: str | None) -> None:
+        self._ended[delegation_id] = request_id
+        if len(self._ended) > MAX_ENDED:
+            self._ended.popitem(last=False)
+
     def _build_reply(self, number: int, open_request: OpenRequest, **fields) -> DelegatedReply:
         """Return a reply with the answers that no earlier reply contained."""
         answered = [
--- a/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/peer_message_handler.py
@@ -56,7 +56,10 @@
 
 
 MESSAGE_DROPPED = "peer_message_dropped"
-"""Event of a message that was of or for a process that is gone."""
+"""Event of a message that was of or for a process that is gone, or of a request that has ended."""
+
+HAS_ENDED = "ended"
+"""Reason for which a request is dropped that came after its cancellation, or once more."""
 
 
 class PeerMessageHandler:
@@ -232,6 +235,15 @@
             self.directory.add_contact(message.sender, now_ms)
         if self._is_duplicate(sender, message, now_ms):
             return
+        if self._runner.delegated.registry.has_ended(sender, message):
+            fields = {
+                "peer": sender.instance_id,
+                "kind": type(message).__name__,
+                "reason": HAS_ENDED,
+                "request_id": message.request_id,
+            }
+            self._actions.append(LogDecision(MESSAGE_DROPPED, fields, "warning"))
+            return
         waited_ms = _waited_ms(message, event.way_ms, now_ms)
         configuration = self._published.configuration
         route = find_delegated_route(message, configuration)
@@ -276,6 +288,7 @@
         return self._crashes.build_message([_fingerprint_of(message)], now_ms)
 
     def _decline(self, sender: ProcessId, message: DelegatedRequest, now_ms: float) -> None:
+        self._runner.delegated.registry.record_declined(sender, message)
         declined = DelegatedReply(message.number, is_declined=True, sent_ms=now_ms)
         self._actions.append(PeerReply(sender, declined))
 
@@ -304,7 +317,7 @@
         registry = self._runner.delegated.registry
         match message:
             case DelegationCancelled(number=number):
-                key = registry.pop_key(sender, number)
+                key = registry.cancel(sender, number)
                 if key is not None:
                     self._runner.drop(key, now_ms)
             case DelegationHedged(number=number):
--- a/packages/geraniumlead/tests/core_tests/forwarding/shard_attempt_fleet.py
+++ b/packages/geraniumlead/tests/core_tests/forwarding/shard_attempt_fleet.py
@@ -16,7 +16,7 @@
 )
 from core_tests.forwarding.fleet_harness import FleetHarness, address_of
 from core_tests.forwarding.harness import ForwarderHarness
-from geraniumlead.forwarding import NotReached, PossiblyExecuted, StartAttempt
+from geraniumlead.forwarding import AttemptResult, NotReached, PossiblyExecuted, StartAttempt
 
 REGIONS = {"noord-a": "noord", "midden-a": "midden", "zuid-a": "zuid"}
 INSTANCES = 12
@@ -60,11 +60,11 @@
         self.down: set[str] = set()
         self.lost_share = 0.0
         self.queries = 0
-        self._refused: set[int] = set()
         self._reached: dict[tuple[str, str], set[str]] = defaultdict(set)
         self._senders: dict[tuple[str, str], set[int]] = defaultdict(set)
-        self._read: dict[int, int] = {}
-        self._answers: list[tuple[float, int, ForwarderHarness, StartAttempt]] = []
+        self._processes: list[ForwarderHarness] = []
+        self._read: list[int] = []
+        self._answers: list[tuple[float, int, ForwarderHarness, StartAttempt, bool]] = []
         self._answer_count = 0
         route = build_fan_out(
             SHARDS,
@@ -123,46 +123,56 @@
     def _read_attempts(self) -> bool:
         is_any_new = False
         for member in self.fleet.members.values():
-            started = member.started[self._read.get(id(member), 0) :]
-            self._read[id(member)] = len(member.started)
+            process = self._number_of(member)
+            started = member.started[self._read[process] :]
+            self._read[process] = len(member.started)
             for attempt in started:
                 is_any_new = True
-                self._record_attempt(member, attempt)
+                self._record_attempt(process, attempt)
         return is_any_new
 
-    def _record_attempt(self, member: ForwarderHarness, attempt: StartAttempt) -> None:
+    def _number_of(self, member: ForwarderHarness) -> int:
+        """Return the number of a process, which no later one gets."""
+        for number, found in enumerate(self._processes):
+            if found is member:
+                return number
+        self._processes.append(member)
+        self._read.append(0)
+        return len(self._processes) - 1
+
+    def _record_attempt(self, process: int, attempt: StartAttempt) -> None:
         upstream_id = attempt.upstream.upstream_id
         work_ms = CONNECT_MS
-        if upstream_id in self.down:
-            self._refused.add(id(attempt))
-        else:
+        is_refused = upstream_id in self.down
+        if not is_refused:
             key = attempt.request.request_id, attempt.upstream.service
             self._reached[key].add(upstream_id)
-            self._senders[key].add(id(member))
+            self._senders[key].add(process)
             work_ms = WORK_MS * self.random.lognormvariate(0.0, 0.35)
             work_ms *= SLOW_FACTOR if upstream_id in self.slow else 1.0
         self._answer_count += 1
-        heappush(self._answers, (self.fleet.now_ms + work_ms, self._answer_count, member, attempt))
+        due_ms, member = self.fleet.now_ms + work_ms, self._processes[process]
+        heappush(self._answers, (due_ms, self._answer_count, member, attempt, is_refused))
 
     def _answer_due(self) -> bool:
         is_any_due = False
         held = []
         while self._answers and self._answers[0][0] <= self.fleet.now_ms:
             entry = heappop(self._answers)
-            _, _, member, attempt = entry
+            _, _, member, attempt, is_refused = entry
             if any(self.fleet.members[address] is member for address in self.fleet.frozen):
                 held.append(entry)
                 continue
             is_alive = any(found is member for found in self.fleet.members.values())
             if is_alive and attempt.attempt_id not in member.cancelled:
                 is_any_due = True
-                member.end(attempt, self._result_of(attempt))
+                member.end(attempt, self._draw_result(attempt, is_refused))
         for entry in held:
             heappush(self._answers, entry)
         return is_any_due
 
-    def _result_of(self, attempt: StartAttempt):
-        if id(attempt) in self._refused:
+    def _draw_result(self, attempt: StartAttempt, is_refused: bool) -> AttemptResult:
+        if is_refused:
             return NotReached("refused")
         if self.random.random() < self.lost_share:
             return PossiblyExecuted("reset")
