Count an attempt that could not be written as not sent

Cause: AttemptClient took each ValueError for a lost connection, wherever it was raised; an address that the URL parser rejects raised outside of that and left the attempt without any result, until its request's deadline.

Change: an attempt knows whether any byte of it may have been written. What fails before is NotReached, whatever the error, so it may go elsewhere and is no strike. An error that nobody foresaw ends the attempt with a result and a line.

Evidence: test_an_attempt_that_cannot_be_written_is_not_reached, 22 cases, of which 18 failed before (two of them by no result at all), and test_an_unforeseen_error_ends_the_attempt_with_a_result, which failed before.

--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/client.py
@@ -67,36 +67,28 @@
         CURRENT_ATTEMPT.set(current)
         try:
             result = await self._exchange(action)
+        except Exception as error:
+            result = _describe_failure(error, current.is_written)
         finally:
             current.end()
         if self._tasks.pop(action.attempt_id, None) is not None:
             self._report(AttemptEnded(action.attempt_id, result))
 
     async def _exchange(self, action: StartAttempt) -> AttemptResult:
+        """Send an attempt and return the result of its answer.
+
+        Raise what the client library raises without an answer, also before anything was written.
+        """
         request, upstream = action.request, action.upstream
         url = URL(f"http://{upstream.address}{request.target}", encoded=True)
-        try:
-            async with self._get_session().request(
-                request.method,
-                url,
-                data=request.body or None,
-                allow_redirects=False,
-            ) as response:
-                body = await response.read()
-                return read_answer(request, response.status, response.headers.items(), body)
-        except DeadlineOverError:
-            return NotSent()
-        except ConnectionTimeoutError as error:
-            return NotReached(type(error).__name__, is_timeout=True)
-        except ClientConnectorError as error:
-            return NotReached(type(error).__name__)
-        except AnswerTooLongError as error:
-            # The connection keeps the error, whose traceback has all that was received.
-            error.__traceback__ = None
-            # This side has closed the connection, which does not count as a crash of the upstream.
-            return PossiblyExecuted(ANSWER_TOO_LONG)
-        except (ClientError, OSError, ValueError) as error:
-            return PossiblyExecuted(type(error).__name__, is_connection_lost=True)
+        async with self._get_session().request(
+            request.method,
+            url,
+            data=request.body or None,
+            allow_redirects=False,
+        ) as response:
+            body = await response.read()
+            return read_answer(request, response.status, response.headers.items(), body)
 
     def _get_session(self) -> ClientSession:
         if self._session is None:
@@ -119,3 +111,33 @@
             # method decides whether a request may be repeated: it could run twice.
             self._session._retry_connection = False
         return self._session
+
+
+def _describe_failure(error: Exception, is_written: bool) -> AttemptResult:
+    """Return the result of an attempt that got no answer.
+
+    Failure: an entry of an upstream has an address or an id that can't be written. The attempt
+    counted as a lost connection: unsafe requests failed although they were never sent, and popular
+    ones were refused as requests that crash upstreams. What fails before any byte is written was
+    not sent, whatever the error.
+    """
+    name = type(error).__name__
+    match error:
+        case DeadlineOverError():
+            return NotSent()
+        case ConnectionTimeoutError():
+            return NotReached(name, is_timeout=True)
+        case ClientConnectorError():
+            return NotReached(name)
+        case AnswerTooLongError():
+            # The connection keeps the error, whose traceback has all that was received.
+            error.__traceback__ = None
+            # This side has closed the connection, which does not count as a crash of the upstream.
+            return PossiblyExecuted(ANSWER_TOO_LONG)
+        case ClientError() | OSError() | ValueError():
+            pass
+        case _:
+            logger.error("attempt_failed", exc_info=error, extra={"fields": {"error": name}})
+    if not is_written:
+        return NotReached(name)
+    return PossiblyExecuted(name, is_connection_lost=isinstance(error, ClientError | OSError))
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/connections.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/connections.py
@@ -119,14 +119,21 @@
 
         Raise DeadlineOverError, and keep the connection, if no time is left.
         """
-        deadline = CURRENT_ATTEMPT.get().action.deadline
+        current = CURRENT_ATTEMPT.get()
+        deadline = current.action.deadline
         now_ms = self.loop.time() * 1000.0
         if deadline.left_ms(now_ms) < MIN_HANDED_MS:
             conn.release()
             raise DeadlineOverError
         deadline.record_handed(set_time_left(self.headers, deadline.left_ms(now_ms)), now_ms)
         conn.protocol.expect(self.headers.get(conn.protocol._id_header))
-        return await super().send(conn)
+        current.is_written = True
+        try:
+            return await super().send(conn)
+        except ValueError:
+            # aiohttp raises it for a header that it can't write, before it writes any.
+            current.is_written = False
+            raise
 
 
 def _read_idle_s(keep_alive: str | None) -> float:
--- a/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/current_attempt.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/forwarding_client/current_attempt.py
@@ -9,12 +9,15 @@
     Failure: a pooled connection keeps the context of the task that opened it. If that held the
     attempt, each open connection would keep the body of its first request, and a crowd of large
     bodies would fill the memory for as long as connections are pooled.
+
+    ``is_written`` is set once any byte of it may have been written.
     """
 
-    __slots__ = ("action",)
+    __slots__ = ("action", "is_written")
 
     def __init__(self, action: StartAttempt) -> None:
         self.action: StartAttempt | None = action
+        self.is_written = False
 
     def end(self) -> None:
         """Let go of the attempt."""
--- a/packages/geraniumlead-server/tests/server_tests/forwarding/test_attempt_client.py
+++ b/packages/geraniumlead-server/tests/server_tests/forwarding/test_attempt_client.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
 from geraniumlead.forwarding import (
     AttemptEnded,
@@ -18,7 +19,7 @@
     StartAttempt,
 )
 from geraniumlead.published_upstreams import UpstreamRecord
-from geraniumlead_server.forwarding_client import AttemptClient
+from geraniumlead_server.forwarding_client import AttemptClient, client
 from geraniumlead_standins.forwarding import StubUpstream, UpstreamFault
 from geraniumlead_standins.testing.free_ports import find_free_port
 
@@ -202,6 +203,42 @@
         result = await self.run_attempt(address=f"127.0.0.1:{find_free_port()}")
         self.assertIsInstance(result, NotReached)
 
+    async def test_an_attempt_that_cannot_be_written_is_not_reached(self):
+        """Guards against a 502 and a suspected crash for a request that was never sent.
+
+        An entry of an upstream has an address or an id that no URL, connection or header can hold.
+        """
+        port = self.upstream.address.partition(":")[2]
+        addresses = (
+            "127.0.0.1:99999",
+            "127.0.0.1:0",
+            "127.0.0.999:80",
+            f"\u0661\u0662\u0667.0.0.1:{port}",
+            "[::1:80",
+            "127.0.0.1:80:80",
+            "",
+            " ",
+        )
+        for method in ("GET", "POST"):
+            for address in addresses:
+                with self.subTest(method=method, address=address):
+                    options = {"method": method, "address": address or ":"}
+                    self.assertIsInstance(await self.run_attempt(**options), NotReached)
+            for upstream_id in ("i-1\r\nX-Other: 1", "i-1\n", "i-\x00"):
+                with self.subTest(method=method, upstream_id=upstream_id):
+                    result = await self.run_attempt(method=method, upstream_id=upstream_id)
+                    self.assertIsInstance(result, NotReached)
+        self.assertEqual([], self.upstream.ran)
+
+    async def test_an_unforeseen_error_ends_the_attempt_with_a_result(self):
+        """Guards against an attempt that nobody ends, whose request waits until its deadline."""
+        error = OverflowError("port must be 0-65535")
+        connector = self.client._get_session().connector
+        with patch.object(type(connector), "connect", side_effect=error):
+            self.assertEqual(NotReached("OverflowError"), await self.run_attempt())
+        with patch.object(client, "read_answer", side_effect=error):
+            self.assertEqual(PossiblyExecuted("OverflowError"), await self.run_attempt())
+
     async def test_bytes_of_a_cancelled_attempt_are_not_delivered_later(self):
         """Guards against a request that a cut holds up and that arrives after its caller has left.
 
--- a/packages/geraniumlead/src/geraniumlead/forwarding/results.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/results.py
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotReached:
-    """No connection was established, so nothing was sent."""
+    """No connection was established, or nothing could be written on it: nothing was sent."""
 
     detail: str
     is_timeout: bool = False
