End calls of the query interface that could not be written as not sent

What callers saw: nothing reported. Found as the same cause elsewhere: a call to an upstream whose address no URL or connection can hold had no result, and its query waited until the call's timeout.

Cause: the client named the errors that end a call, and others ended its task. A list of upstreams with an octet of 999, or a port followed by a newline, was accepted.

Change: what fails before a call is written is NotReached, whatever the error; an unforeseen error ends the call with a line. Checks GL-U006 (no IP number) and GL-U003 refuse such lists.

Evidence: test_a_call_that_cannot_be_written_is_not_reached failed for all five addresses before, test_finds_addresses_to_which_nothing_can_be_sent for both.

--- a/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/client.py
@@ -1,6 +1,7 @@
 """Call upstreams over HTTP with aiohttp."""
 
 import asyncio
+import logging
 import math
 from collections.abc import Callable
 
@@ -12,9 +13,11 @@
 from geraniumlead.upstreams import ConnectionLost, NotReached, TimedOut, UpstreamAnswer
 from geraniumlead_server.upstream_client.running_call import RunningCall
 from geraniumlead_server.upstream_client.target import UpstreamTarget
-from geraniumlead_server.upstream_client.timed_request import CALL_END_S, CallOverError
+from geraniumlead_server.upstream_client.timed_request import CURRENT_CALL, CallOverError, TimedCall
 from geraniumlead_server.upstream_client.wire import encode_subquery, read_answer
 
+logger = logging.getLogger("geraniumlead")
+
 
 class UpstreamClient:
     """Runs each call as a task and reports its end.
@@ -58,7 +61,12 @@
             await target.session.close()
 
     async def _run(self, action: CallUpstream, started_s: float) -> None:
-        answer = await self._exchange(action, started_s)
+        timed_call = TimedCall(started_s + action.timeout_ms / 1000.0)
+        CURRENT_CALL.set(timed_call)
+        try:
+            answer = await self._exchange(action)
+        except Exception as error:
+            answer = _describe_failure(error, timed_call.is_written)
         call = self._calls.pop(action.call_id, None)
         if call is not None:
             call.timer.cancel()
@@ -88,24 +96,17 @@
         is_silent = is_silent and remaining_s > 0.001
         self._report(UpstreamAnswered(call_id, TimedOut(silent_connection=is_silent)))
 
-    async def _exchange(self, action: CallUpstream, started_s: float) -> UpstreamAnswer:
+    async def _exchange(self, action: CallUpstream) -> UpstreamAnswer:
+        """Send a call and return its answer; raise what the client library raises without one."""
         target = self._target_for(action)
         headers = {
             "X-Request-Id": action.subquery.request_id,
         }
-        CALL_END_S.set(started_s + action.timeout_ms / 1000.0)
         body = encode_subquery(action.subquery)
-        try:
-            async with target.session.post(target.url, data=body, headers=headers) as response:
-                body = await response.read()
-                target.last_answer_s = self._loop.time()
-                return read_answer(response.status, body)
-        except CallOverError:
-            return NotReached("no time left")
-        except (ClientConnectorError, ConnectionTimeoutError) as error:
-            return NotReached(str(error))
-        except (ClientError, OSError) as error:
-            return ConnectionLost(type(error).__name__)
+        async with target.session.post(target.url, data=body, headers=headers) as response:
+            body = await response.read()
+            target.last_answer_s = self._loop.time()
+            return read_answer(response.status, body)
 
     def _handle_disconnection(self, event: UpstreamDisconnected) -> None:
         if not self._is_closing:
@@ -120,3 +121,18 @@
             )
             self._targets[action.address] = target
         return target
+
+
+def _describe_failure(error: Exception, is_written: bool) -> UpstreamAnswer:
+    """Return the answer of a call that got none; what fails before it is written was not sent."""
+    name = type(error).__name__
+    match error:
+        case CallOverError():
+            return NotReached("no time left")
+        case ClientConnectorError() | ConnectionTimeoutError():
+            return NotReached(str(error))
+        case ClientError() | OSError() | ValueError():
+            pass
+        case _:
+            logger.error("call_failed", exc_info=error, extra={"fields": {"error": name}})
+    return ConnectionLost(name) if is_written else NotReached(name)
--- a/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/timed_request.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/upstream_client/timed_request.py
@@ -5,9 +5,22 @@
 REMAINING_HEADER = "X-Remaining-Ms"
 MIN_REMAINING_S = 0.001
 
-CALL_END_S: ContextVar[float] = ContextVar("call_end_s")
-"""When the call of the running task ends, on the loop's clock; aiohttp builds requests without a
-place for it."""
+
+class TimedCall:
+    """The call of a task, until ``end_s`` on the loop's clock.
+
+    ``is_written`` is set once any byte of it may have been written.
+    """
+
+    __slots__ = ("end_s", "is_written")
+
+    def __init__(self, end_s: float) -> None:
+        self.end_s = end_s
+        self.is_written = False
+
+
+CURRENT_CALL: ContextVar[TimedCall] = ContextVar("current_call")
+"""The call of the running task; aiohttp builds requests without a place for it."""
 
 
 class CallOverError(Exception):
@@ -26,10 +39,12 @@
 
         Raise CallOverError, and keep the connection, if no time is left.
         """
-        remaining_s = CALL_END_S.get() - self.loop.time()
+        call = CURRENT_CALL.get()
+        remaining_s = call.end_s - self.loop.time()
         if remaining_s < MIN_REMAINING_S:
             conn.release()
             raise CallOverError
         self.headers[REMAINING_HEADER] = str(int(remaining_s * 1000.0))
         conn.protocol.begin_request()
+        call.is_written = True
         return await super().send(conn)
--- a/packages/geraniumlead-server/tests/server_tests/upstream_client/test_client.py
+++ b/packages/geraniumlead-server/tests/server_tests/upstream_client/test_client.py
@@ -7,7 +7,7 @@
 
 from geraniumlead.actions import CallUpstream
 from geraniumlead.events import UpstreamAnswered, UpstreamDisconnected
-from geraniumlead.upstreams import Records, Subquery, TimedOut
+from geraniumlead.upstreams import NotReached, Records, Subquery, TimedOut
 from geraniumlead_server.upstream_client import UpstreamClient
 from geraniumlead_standins.testing.free_ports import find_free_port
 
@@ -53,6 +53,17 @@
             while len(self.events) < count:
                 await asyncio.sleep(0.005)
 
+    async def test_a_call_that_cannot_be_written_is_not_reached(self):
+        """Guards against a call that nobody ends, since its upstream's address is no address."""
+        addresses = ("127.0.0.1:99999", "127.0.0.999:80", "[::1:80", "::1]:80", "1:2:3")
+        for number, address in enumerate(addresses, start=1):
+            with self.subTest(address=address):
+                self.client.call(build_action(f"c{number}", address, overdue_ms=None))
+                async with asyncio.timeout(1.0):
+                    await self.wait_for_events(number)
+                self.assertIsInstance(self.events[-1].answer, NotReached)
+        self.assertEqual([], self.remaining_ms)
+
     async def test_overdue_call_ends_when_other_connections_answer(self):
         """One connection has gone silent while the upstream answers on another.
 
--- a/packages/geraniumlead/src/geraniumlead/checks/addresses.py
+++ b/packages/geraniumlead/src/geraniumlead/checks/addresses.py
@@ -7,7 +7,8 @@
 
 def has_valid_port(address: str) -> bool:
     """Return whether the port is between 1 and 65535."""
-    return 1 <= int(address.rpartition(":")[2]) <= MAX_PORT
+    port = address.rpartition(":")[2]
+    return port.isascii() and port.isdecimal() and 1 <= int(port) <= MAX_PORT
 
 
 def has_valid_ip(address: str) -> bool:
--- a/packages/geraniumlead/src/geraniumlead/checks/upstream_list_checks.py
+++ b/packages/geraniumlead/src/geraniumlead/checks/upstream_list_checks.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from geraniumlead.checks.addresses import has_valid_port
+from geraniumlead.checks.addresses import has_valid_ip, has_valid_port
 from geraniumlead.checks.duplicates import find_duplicates
 from geraniumlead.checks.message import CheckMessage, Level
 from geraniumlead.checks.registry import document_checks
@@ -23,7 +23,7 @@
 
 @document_checks.register(UpstreamListDocument)
 def check_upstream_addresses(document: UpstreamListDocument) -> Iterator[CheckMessage]:
-    """Find two upstreams with the same address, and addresses without a valid port."""
+    """Find two upstreams with the same address, and addresses that cannot be reached."""
     for position, address in find_duplicates(entry.address for entry in document.upstreams):
         yield CheckMessage(
             id="GL-U002",
@@ -38,6 +38,12 @@
                 path=f"$.upstreams[{position}].address",
                 text=f"{entry.address} has no port from 1 to 65535",
             )
+        if not has_valid_ip(entry.address):
+            yield CheckMessage(
+                id="GL-U006",
+                path=f"$.upstreams[{position}].address",
+                text=f"{entry.address} has no IP number",
+            )
 
 
 @document_checks.register(UpstreamListDocument)
--- a/packages/geraniumlead/tests/core_tests/checks/test_check_document.py
+++ b/packages/geraniumlead/tests/core_tests/checks/test_check_document.py
@@ -79,6 +79,14 @@
         document = UpstreamListDocument(data_centre="noord", upstreams=[upstream])
         self.assertEqual(find_ids(document), ["GL-U003"])
 
+    def test_finds_addresses_to_which_nothing_can_be_sent(self):
+        """Guards against an upstream whose calls all fail before they are written."""
+        for address, check_id in (("127.0.0.999:80", "GL-U006"), ("127.0.0.1:80\n", "GL-U003")):
+            with self.subTest(address=address):
+                upstream = build_upstream(address=address)
+                document = UpstreamListDocument(data_centre="noord", upstreams=[upstream])
+                self.assertEqual(find_ids(document), [check_id])
+
     def test_finds_contradictory_limits(self):
         upstream = build_upstream(slots=4, connections=2, cold_allowance=5)
         document = UpstreamListDocument(data_centre="noord", upstreams=[upstream])
