Take no entry for an upstream that nothing can be sent to

Cause: the address was checked by a pattern of digits, in any script and before a final newline; the id, which goes into a header, was not checked; slots of 1e18, or a start of 401 digits, were taken as they are.

Change: an address has four octets and a port from 1 to 65535, an id the visible ASCII characters of a header, and numbers are within what a server can mean. A reply of the store that can't be decoded for any of these reasons is a failed call.

Evidence: test_entries_of_which_no_upstream_could_be_called_are_not_used, 22 entries, failed at its first before; test_the_largest_ordinary_values_are_used.

--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/store_client.py
@@ -174,7 +174,7 @@
                 self._base_url + path, params=query, timeout=timeout
             ) as response:
                 body = await response.read()
-        except (ClientError, OSError, TimeoutError) as error:
+        except (ClientError, OSError, TimeoutError, ValueError) as error:
             raise StoreError(type(error).__name__) from error
         if response.status == HISTORY_GONE_STATUS:
             raise HistoryGoneError("the history is gone")
@@ -182,7 +182,7 @@
             raise StoreError(f"status {response.status}")
         try:
             return decoder.decode(body)
-        except (DecodeError, ValidationError) as error:
+        except (DecodeError, ValidationError, UnicodeDecodeError, RecursionError) as error:
             raise StoreError(str(error)) from error
 
     def _read_full_state(self, items: list[ItemBody]) -> tuple[PublishedUpdate, ...]:
--- a/packages/geraniumlead-server/src/geraniumlead_server/platform/store_records.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/platform/store_records.py
@@ -1,10 +1,12 @@
 """Decode the values in the platform's store."""
 
+from re import ASCII, compile
 from typing import Annotated, Literal
 
 from msgspec import DecodeError, Meta, Struct, ValidationError
 from msgspec.json import Decoder
 
+from geraniumlead.checks.addresses import has_valid_ip, has_valid_port
 from geraniumlead.forwarding import (
     ConfigurationSeen,
     EvacuationSeen,
@@ -31,9 +33,24 @@
 )
 
 Name = Annotated[str, Meta(min_length=1)]
-Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 NonNegative = Annotated[float, Meta(ge=0)]
 
+MAX_SLOTS = 1_000_000
+
+MAX_COLD_MS = 86_400_000.0
+"""Longest time, a day, that an upstream may say it is cold."""
+
+MAX_WHOLE_NUMBER = 2**53
+"""Largest number that JSON carries exactly between all writers."""
+
+WholeNumber = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+
+IPV4_AND_PORT = compile(r"[0-9.]+:[0-9]{1,5}", ASCII)
+"""An address with a port, in ASCII digits; which numbers they are is checked apart."""
+
+HEADER_VALUE = compile(r"[!-~]+", ASCII)
+"""An id that a header can hold: visible ASCII characters."""
+
 SAFE = "safe"
 READY = "ready"
 
@@ -42,14 +59,14 @@
     """An upstream's entry. ``version`` is its software version, which is not used."""
 
     service: Name
-    addr: Address
+    addr: str
     zone: Name
-    slots: Annotated[int, Meta(ge=1)]
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    seq: int
+    seq: WholeNumber
     version: str
-    warmup_left_ms: NonNegative = 0.0
-    born: int | None = None
+    warmup_left_ms: Annotated[float, Meta(ge=0, le=MAX_COLD_MS)] = 0.0
+    born: WholeNumber | None = None
 
 
 class WeightBody(Struct):
@@ -146,6 +163,10 @@
         body = _SERVER.decode(value)
     except (DecodeError, ValidationError, UnicodeDecodeError, RecursionError) as error:
         return UnreadableValue(key, str(error))
+    if not HEADER_VALUE.fullmatch(upstream_id):
+        return UnreadableValue(key, "the id has characters that no header can hold")
+    if not _is_address(body.addr):
+        return UnreadableValue(key, f"{body.addr!r:.60} is no IPv4 address with a port")
     return UpstreamSeen(
         UpstreamRecord(
             upstream_id=upstream_id,
@@ -160,6 +181,15 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    """Return whether a text has four octets and a port.
+
+    Failure: an address that no connection can be opened to counts as an upstream; each attempt at
+    it is lost, and other upstreams get what it cannot take.
+    """
+    return bool(IPV4_AND_PORT.fullmatch(text)) and has_valid_ip(text) and has_valid_port(text)
+
+
 def _read_configuration(value: bytes) -> PublishedUpdate | UnreadableValue:
     try:
         body = _CONFIGURATION.decode(value)
--- a/packages/geraniumlead-server/tests/server_tests/platform/test_store_records.py
+++ b/packages/geraniumlead-server/tests/server_tests/platform/test_store_records.py
@@ -1,5 +1,6 @@
 """Tests of the decoding of values in the store."""
 
+from json import dumps
 from unittest import TestCase
 
 from msgspec.json import encode
@@ -70,6 +71,39 @@
         for value in broken:
             self.assertIsInstance(read_item("servers/i-1", value), UnreadableValue, value)
 
+    def test_entries_of_which_no_upstream_could_be_called_are_not_used(self):
+        """Guards against an odd entry that is taken for a server, and gets a part of the calls."""
+        odd = [
+            {"addr": "10.1.0.9:99999"},
+            {"addr": "10.1.0.9:0"},
+            {"addr": "10.1.0.999:80"},
+            {"addr": "10.1.0.9:80\n"},
+            {"addr": "10.1.0.9:\u0668\u0660"},
+            {"addr": "10.1.0:80"},
+            {"addr": "[10.1.0.9]:80"},
+            {"addr": "010.1.0.9:80"},
+            {"addr": "10.1.0.9:" + "8" * 5_000},
+            {"slots": 10**18},
+            {"slots": 10**401},
+            {"born": 10**401},
+            {"born": -1},
+            {"seq": 10**401},
+            {"warmupLeftMs": 1e308},
+        ]
+        for changes in odd:
+            value = dumps(ENTRY | changes).encode()
+            self.assertIsInstance(read_item("servers/i-1", value), UnreadableValue, changes)
+        for upstream_id in ("i-1\r\nX: y", "i-1\n", "i 1", "i-\u0661", "i-\x00", ""):
+            found = read_item(f"servers/{upstream_id}", encode(ENTRY))
+            self.assertIsInstance(found, UnreadableValue, upstream_id)
+        deep = b'{"service":' + b"[" * 40_000
+        self.assertIsInstance(read_item("servers/i-1", deep), UnreadableValue)
+
+    def test_the_largest_ordinary_values_are_used(self):
+        """Guards against bounds that leave out sound servers."""
+        changes = {"addr": "255.255.255.254:65535", "slots": 100_000, "born": 4_102_444_800_000}
+        self.assertIsInstance(read_item("servers/i-1", encode(ENTRY | changes)), UpstreamSeen)
+
     def test_fields_of_a_newer_platform_are_ignored(self):
         self.assertIsInstance(read_item("servers/i", encode(ENTRY | {"mood": 1})), UpstreamSeen)
 
