Drop a message to a peer whose address is none

What callers saw: nothing reported; found while looking for the same cause elsewhere. One peer that states an odd address ended the event in which a message was sent to it: what else that event had to send was lost, and its timer was not set.

Cause: ZeroMQ refuses such an address when the connection is opened, and only a full queue was expected there.

Change: the message is dropped with a line, and the socket is closed.

Evidence: test_a_peer_whose_address_is_none_does_not_end_the_event, an error before.

--- a/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
+++ b/packages/geraniumlead-server/src/geraniumlead_server/peer_transport/transport.py
@@ -101,11 +101,20 @@
         self._receive()
 
     def send(self, outgoing: OutgoingMessage) -> None:
-        """Queue a message for a peer, or drop it if the connection accepts none."""
+        """Queue a message for a peer, or drop it if the connection accepts none.
+
+        Failure: a peer states an address that is none. The error ended the event, and with it all
+        that was still to be sent for it.
+        """
         if self.has_keys and not outgoing.public_key:
             logger.warning("peer_without_key", extra={"fields": {"peer": outgoing.instance_id}})
             return
-        dealer = self._dealers.socket_for(outgoing, self._loop.time())
+        try:
+            dealer = self._dealers.socket_for(outgoing, self._loop.time())
+        except zmq.ZMQError as error:
+            fields = {"peer": outgoing.instance_id, "reason": str(error)}
+            logger.warning("peer_address_unusable", extra={"fields": fields})
+            return
         try:
             dealer.send_multipart(self._build_frames(outgoing), zmq.NOBLOCK)
         except zmq.Again:
@@ -184,6 +193,14 @@
 
     def _open_dealer(self, outgoing: OutgoingMessage) -> zmq.Socket:
         dealer = self._context.socket(zmq.DEALER, socket_class=zmq.Socket)
+        try:
+            self._connect(dealer, outgoing)
+        except zmq.ZMQError:
+            dealer.close(linger=0)
+            raise
+        return dealer
+
+    def _connect(self, dealer: zmq.Socket, outgoing: OutgoingMessage) -> None:
         self._configure(dealer)
         if self.has_keys:
             self._set_keys(dealer)
@@ -194,7 +211,6 @@
             suffix = "" if is_named else f"{IDENTITY_SEPARATOR}seed"
             dealer.setsockopt(zmq.IDENTITY, f"{self._settings.instance_id}{suffix}".encode())
         dealer.connect(f"tcp://{outgoing.address}")
-        return dealer
 
     def _configure(self, socket: zmq.Socket) -> None:
         socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK_MESSAGES)
--- a/packages/geraniumlead-server/tests/server_tests/peer_transport/test_transport.py
+++ b/packages/geraniumlead-server/tests/server_tests/peer_transport/test_transport.py
@@ -99,6 +99,15 @@
         await asyncio.sleep(SETTLE_S)
         self.assertEqual([("noord-2", "7")], receiver.received)
 
+    async def test_a_peer_whose_address_is_none_does_not_end_the_event(self):
+        """Guards against one odd address that keeps messages from all other peers."""
+        receiver, sender = self.add("noord-1", False), self.add("noord-2", False)
+        for address in ("", "a b:1", "127.0.0.1:80\n", "127.0.0.1:99999"):
+            sender.transport.send(SendToPeer("noord-3", address, Goodbye("9"), ""))
+        sender.send(receiver, "7")
+        await self.wait_for(lambda: receiver.received)
+        self.assertEqual([("noord-2", "7")], receiver.received)
+
     async def wait_for(self, condition):
         async with asyncio.timeout(MAX_WAIT_S):
             while not condition():
