--- a/packages/geraniumlead/src/geraniumlead/forwarding/delegated_request_registry.py
+++ b/packages/geraniumlead/src/geraniumlead/forwarding/delegated_request_registry.py
@@ -8,8 +8,7 @@
 from geraniumlead.routes import FanOut
 
 MAX_ENDED = 4_096
-"""Number of ended delegations that are remembered: those of half a second at the most that one
-instance serves, or of minutes in a small fleet."""
+"""Number of ended delegations that are remembered."""
 
 
 @dataclass(frozen=True, slots=True)
